--- /dev/null
+++ b/packages/api/src/index.ts
@@ -0,0 +1,2 @@
+export * from "./limiter.ts"
+export * from "./users.ts"
--- /dev/null
+++ b/packages/api/src/users.ts
@@ -0,0 +1,258 @@
+import { chunkSize } from "@sorreltally/jobs"
+import { allowed } from "@sorreltally/planner"
+import type { Operators, Platform } from "@sorreltally/settings"
+import {
+  type FinalRecord,
+  type JobRecord,
+  keys,
+  type StateClient,
+  type StateTrouble,
+} from "@sorreltally/state"
+import {
+  ABSENT,
+  decodeJobRequest,
+  decodeReport,
+  type Incoming,
+  type JobId,
+  JobId as JobIdSchema,
+  type JobRequest,
+  type JobView,
+  type MachineType,
+  type Outgoing,
+  type Report,
+  type Stamp,
+  type Timekeeper,
+  type TypeName,
+} from "@sorreltally/wire"
+import { Effect, Option, Result, Schema } from "effect"
+import { Limiter } from "./limiter.ts"
+
+/** What the users' side asks of the controller behind it. */
+export interface Desk {
+  readonly ready: () => boolean
+  readonly catalog: () => ReadonlyMap<TypeName, MachineType> | null
+  readonly jobChanged: (path: string, record: JobRecord, stamp: Stamp) => Effect.Effect<void>
+  readonly counts: (
+    request: JobRequest,
+  ) => Effect.Effect<{ readonly done: number; readonly running: number } | null>
+  readonly report: (body: Report) => Effect.Effect<Outgoing>
+}
+
+export const BODY_LIMIT = 64 * 1024
+/** Users wait 5 s for a submission and 2 s for a poll; a final "no" in time is worth more than silence. */
+const SUBMIT_MS = 3_500
+const POLL_MS = 1_500
+const isJobId = Schema.is(JobIdSchema)
+
+type Found =
+  | { readonly kind: "live"; readonly record: JobRecord; readonly stamp: Stamp }
+  | { readonly kind: "final"; readonly status: "done" | "withdrawn" }
+  | { readonly kind: "none" }
+
+/** The HTTP interface for users, workers and health checks, apart from the sockets. */
+export class Api {
+  private readonly limiter: Limiter
+  private readonly finals = new Map<JobId, "done" | "withdrawn">()
+
+  constructor(
+    private readonly platform: Platform,
+    private readonly operators: Operators,
+    private readonly state: StateClient,
+    private readonly desk: Desk,
+    private readonly time: Timekeeper,
+  ) {
+    const { admission } = operators
+    this.limiter = new Limiter({ least: admission["least-in-progress"], most: admission["most-in-progress"] })
+  }
+
+  handle(request: Incoming): Effect.Effect<Outgoing> {
+    const path = request.path.split("?")[0] ?? request.path
+    if (path === "/ready") return this.only("GET", request, () => Effect.succeed(this.ready()))
+    if (path === "/v1/report") return this.only("POST", request, () => this.report(request))
+    if (path === "/v1/jobs")
+      return this.only("POST", request, () => this.admitted(this.submit(request), SUBMIT_MS))
+    const job = /^\/v1\/jobs\/([^/]+)(\/cancel)?$/.exec(path)
+    if (job === null) return Effect.succeed({ status: 404, body: { error: "no such path" } })
+    const id = job[1] ?? ""
+    return job[2] === undefined
+      ? this.only("GET", request, () => this.admitted(this.poll(id), POLL_MS))
+      : this.only("POST", request, () => this.admitted(this.cancel(id), SUBMIT_MS))
+  }
+
+  private only(
+    method: string,
+    request: Incoming,
+    run: () => Effect.Effect<Outgoing>,
+  ): Effect.Effect<Outgoing> {
+    return request.method === method
+      ? run()
+      : Effect.succeed({ status: 405, body: { error: `only ${method}` } })
+  }
+
+  private ready(): Outgoing {
+    return this.desk.ready() ? { status: 200, body: {} } : { status: 503, body: {} }
+  }
+
+  private report(request: Incoming): Effect.Effect<Outgoing> {
+    const body = parse(request.body)
+    const report = decodeReport(body)
+    if (Result.isFailure(report))
+      return Effect.succeed({ status: 400, body: { error: report.failure.message } })
+    return this.desk.report(report.success)
+  }
+
+  private later(status: 429 | 503, error: string): Outgoing {
+    return { status, body: { error }, retryAfterS: this.operators.admission["retry-after-s"] }
+  }
+
+  /** Within the limit on requests in progress, and with an answer in time whatever happens. */
+  private admitted(work: Effect.Effect<Outgoing, StateTrouble>, withinMs: number): Effect.Effect<Outgoing> {
+    return Effect.suspend(() => {
+      const leave = this.limiter.enter(this.time.moment())
+      if (leave === null) return Effect.succeed(this.later(429, "too many requests in progress"))
+      return work.pipe(
+        Effect.timeoutOption(withinMs),
+        Effect.map(Option.getOrElse(() => this.later(503, "the state service did not answer"))),
+        Effect.catchTag("StateTrouble", () =>
+          Effect.succeed(this.later(503, "the state service can't be used now")),
+        ),
+        Effect.ensuring(Effect.sync(() => leave(this.time.moment()))),
+      )
+    })
+  }
+
+  // --- submissions ------------------------------------------------------------
+
+  private submit(incoming: Incoming): Effect.Effect<Outgoing, StateTrouble> {
+    return Effect.gen({ self: this }, function* () {
+      const body = parse(incoming.body)
+      if (body === undefined) return bad("not JSON")
+      if (typeof body !== "object" || body === null || Array.isArray(body)) return bad("not an object")
+      const decoded = decodeJobRequest(body)
+      if (Result.isFailure(decoded)) return bad(decoded.failure.message)
+      const request = decoded.success
+      const refusal = this.refusal(request)
+      if (refusal !== null) {
+        // A job once accepted stays accepted, whatever we would say to it today.
+        const found = yield* this.find(request.id)
+        if (found.kind !== "none") return yield* this.view(request.id, found)
+        return refusal
+      }
+      const record: JobRecord = {
+        request,
+        submitted: this.time.wall(),
+        chunk: chunkSize(this.platform.facts.state.value_kb),
+      }
+      const path = keys.job(request.id)
+      const when = [
+        { path, stamp: ABSENT },
+        { path: keys.final(request.id), stamp: ABSENT },
+      ]
+      const made = yield* this.state.multi(when, [{ set: path, v: record }], 1)
+      if (made.ok) {
+        yield* this.desk.jobChanged(path, record, made.epoch)
+        return { status: 201, body: { id: request.id, status: "queued" } satisfies JobView }
+      }
+      const found = yield* this.find(request.id)
+      if (found.kind === "none") return this.later(503, "the job's state can't be read now")
+      return yield* this.view(request.id, found)
+    })
+  }
+
+  /** Null: the job can run. */
+  private refusal(request: JobRequest): Outgoing | null {
+    const { teams, zones } = this.platform.facts
+    const team = teams.find((t) => t.name === request.owner)
+    if (team === undefined) return never(`unknown team ${request.owner}`)
+    if (request.cores > team.cpus_max || request.accelerators > team.gpus_max) {
+      return never(`a task needs more than the limit of team ${team.name}`)
+    }
+    const catalog = this.desk.catalog()
+    if (catalog === null) return this.later(503, "the machine types aren't known yet")
+    const places = new Set<string>()
+    for (const type of catalog.values()) {
+      for (const zone of type.sites) {
+        if (zones.includes(zone) && allowed(request, { type, zone, spot: false })) places.add(zone)
+      }
+    }
+    if (places.size === 0) return never("a task fits no allowed machine type")
+    if (request.scatter && request.pieces > 1 && (request.together || places.size < 2)) {
+      return never("its tasks can't be scattered over the allowed zones")
+    }
+    return null
+  }
+
+  // --- polls and cancellations --------------------------------------------------
+
+  /**
+   * What the state service says now. Memory won't do for what isn't final: a
+   * cancellation accepted by another node may not have reached us. A job
+   * moves from its live key to its final one, so reading them in this order
+   * never misses one that was accepted before.
+   */
+  private find(id: JobId): Effect.Effect<Found, StateTrouble> {
+    return Effect.gen({ self: this }, function* () {
+      const known = this.finals.get(id)
+      if (known !== undefined) return { kind: "final", status: known } as const
+      const live = yield* this.state.get(keys.job(id))
+      if (live !== null) return { kind: "live", record: live.v as JobRecord, stamp: live.stamp } as const
+      const final = yield* this.state.get(keys.final(id))
+      if (final === null) return { kind: "none" } as const
+      const { status } = final.v as FinalRecord
+      this.remember(id, status)
+      return { kind: "final", status } as const
+    })
+  }
+
+  private remember(id: JobId, status: "done" | "withdrawn"): void {
+    this.finals.set(id, status)
+    if (this.finals.size <= REMEMBERED) return
+    const oldest = this.finals.keys().next()
+    if (oldest.done !== true) this.finals.delete(oldest.value)
+  }
+
+  private view(id: JobId, found: Found): Effect.Effect<Outgoing> {
+    return Effect.gen({ self: this }, function* () {
+      if (found.kind === "none") return { status: 404, body: { error: "no such job" } }
+      if (found.kind === "final") return { status: 200, body: { id, status: found.status } satisfies JobView }
+      if (found.record.withdrawn === true) {
+        return { status: 200, body: { id, status: "withdrawn" } satisfies JobView }
+      }
+      const counts = (yield* this.desk.counts(found.record.request)) ?? { done: 0, running: 0 }
+      const status = counts.running > 0 ? "running" : "queued"
+      return { status: 200, body: { id, status, ...counts } satisfies JobView }
+    })
+  }
+
+  private poll(id: string): Effect.Effect<Outgoing, StateTrouble> {
+    if (!isJobId(id)) return Effect.succeed({ status: 404, body: { error: "no such job" } })
+    return Effect.flatMap(this.find(id), (found) => this.view(id, found))
+  }
+
+  private cancel(id: string): Effect.Effect<Outgoing, StateTrouble> {
+    if (!isJobId(id)) return Effect.succeed({ status: 404, body: { error: "no such job" } })
+    return Effect.gen({ self: this }, function* () {
+      for (;;) {
+        const found = yield* this.find(id)
+        if (found.kind !== "live" || found.record.withdrawn === true) return yield* this.view(id, found)
+        const record: JobRecord = { ...found.record, withdrawn: true }
+        const path = keys.job(id)
+        const done = yield* this.state.multi([{ path, stamp: found.stamp }], [{ set: path, v: record }], 1)
+        if (!done.ok) continue
+        yield* this.desk.jobChanged(path, record, done.epoch)
+        return { status: 200, body: { id, status: "withdrawn" } satisfies JobView }
+      }
+    })
+  }
+}
+
+const REMEMBERED = 20_000
+const bad = (error: string): Outgoing => ({ status: 400, body: { error } })
+const never = (error: string): Outgoing => ({ status: 422, body: { error } })
+const parse = (text: string): unknown => {
+  try {
+    return JSON.parse(text)
+  } catch {
+    return undefined
+  }
+}
--- /dev/null
+++ b/packages/cloud/src/index.ts
@@ -0,0 +1,111 @@
+import {
+  type Address,
+  Catalog,
+  Exchange,
+  HireAnswer,
+  type HireRequest,
+  type ListedMachine,
+  type MachineId,
+  MachinePage,
+  type MachineType,
+  timekeeper,
+} from "@sorreltally/wire"
+import { Data, Effect, Result, Schema } from "effect"
+
+/** `unknown`: the request may have been, or may yet be, carried out. */
+export class CloudTrouble extends Data.TaggedError("CloudTrouble")<{
+  readonly outcome: "refused" | "unknown"
+  readonly status: number
+}> {}
+
+export type HireOutcome =
+  | { readonly kind: "rented"; readonly machines: ReadonlyArray<MachineId> }
+  | { readonly kind: "no-capacity" }
+
+export interface CloudClient {
+  readonly catalog: Effect.Effect<ReadonlyArray<MachineType>, CloudTrouble>
+  readonly hire: (request: HireRequest) => Effect.Effect<HireOutcome, CloudTrouble>
+  /** Once this succeeds, the machines and all that ran on them are gone. */
+  readonly remove: (machines: ReadonlyArray<MachineId>) => Effect.Effect<void, CloudTrouble>
+  readonly list: Effect.Effect<ReadonlyArray<ListedMachine>, CloudTrouble>
+}
+
+const decodeCatalog = Schema.decodeUnknownResult(Catalog)
+const decodePage = Schema.decodeUnknownResult(MachinePage)
+const decodeHire = Schema.decodeUnknownResult(HireAnswer)
+
+const TIMEOUT_MS = 3_000
+const PAGE = 500
+
+/** Calls are spaced so that all nodes together stay below the cloud's rate. */
+class Pace {
+  private free = 0
+  constructor(private readonly spacingMs: number) {}
+  readonly take: Effect.Effect<void> = Effect.flatMap(timekeeper, (time) =>
+    Effect.suspend(() => {
+      const now = time.moment()
+      // Two calls may go back to back; more are spaced.
+      const earliest = Math.max(this.free, now - this.spacingMs)
+      this.free = earliest + this.spacingMs
+      return earliest > now ? Effect.sleep(earliest - now) : Effect.void
+    }),
+  )
+}
+
+export const makeCloudClient = (
+  address: Address,
+  limits: { readonly rps: number },
+  nodes: number,
+): Effect.Effect<CloudClient, never, Exchange> =>
+  Effect.gen(function* () {
+    const exchange = yield* Exchange
+    const pace = new Pace((1000 * nodes) / (limits.rps * 0.9))
+    const call = (method: "GET" | "POST", path: string, body?: unknown) =>
+      Effect.andThen(
+        pace.take,
+        exchange
+          .call({ address, method, path, body, timeoutMs: TIMEOUT_MS })
+          .pipe(Effect.mapError(() => new CloudTrouble({ outcome: "unknown", status: 0 }))),
+      )
+    const refuse = (status: number) => Effect.fail(new CloudTrouble({ outcome: "refused", status }))
+
+    return {
+      catalog: Effect.flatMap(call("GET", "/catalog"), (reply) => {
+        const decoded = decodeCatalog(reply.body)
+        return reply.status === 200 && Result.isSuccess(decoded)
+          ? Effect.succeed(decoded.success.builds)
+          : refuse(reply.status)
+      }),
+      hire: (request) =>
+        Effect.flatMap(
+          call("POST", "/machines", request),
+          (reply): Effect.Effect<HireOutcome, CloudTrouble> => {
+            const decoded = decodeHire(reply.body)
+            if (reply.status === 200 && Result.isSuccess(decoded)) {
+              return Effect.succeed({ kind: "rented", machines: decoded.success.hosts })
+            }
+            const error = (reply.body as { error?: unknown } | null)?.error
+            return reply.status === 503 && error === "no capacity"
+              ? Effect.succeed({ kind: "no-capacity" })
+              : refuse(reply.status)
+          },
+        ),
+      remove: (machines) =>
+        Effect.flatMap(call("POST", "/machines/delete", { hosts: machines }), (reply) =>
+          reply.status === 200 ? Effect.void : refuse(reply.status),
+        ),
+      list: Effect.gen(function* () {
+        const all: Array<ListedMachine> = []
+        let after = ""
+        for (;;) {
+          const reply = yield* call("GET", `/machines?after=${after}&page=${PAGE}`)
+          const decoded = decodePage(reply.body)
+          if (reply.status !== 200 || !Result.isSuccess(decoded)) return yield* refuse(reply.status)
+          all.push(...decoded.success.hosts)
+          const last = decoded.success.hosts.at(-1)
+          if (!decoded.success.more || last === undefined) return all
+          after = last.id
+        }
+      }),
+    }
+  })
--- /dev/null
+++ b/packages/controller/src/controller.ts
@@ -0,0 +1,252 @@
+import type { CloudClient } from "@sorreltally/cloud"
+import { DEADLINE, Membership, type PartKeeper, partOf } from "@sorreltally/membership"
+import type { PeerChannel } from "@sorreltally/peers"
+import type { Operators, Platform } from "@sorreltally/settings"
+import { type JobRecord, keys, type MachineRecord, type StateClient } from "@sorreltally/state"
+import {
+  decodeReport,
+  Exchange,
+  type HireName,
+  type JobId,
+  type JobRequest,
+  type Log,
+  later,
+  type MachineId,
+  type MachineType,
+  type Moment,
+  type NodeName,
+  type Outgoing,
+  type PartName,
+  type Report,
+  type Stamp,
+  type Timekeeper,
+  type TypeName,
+  timekeeper,
+} from "@sorreltally/wire"
+import { Cause, Effect, Fiber, Result } from "effect"
+import { type EngineContext, PartEngine } from "./engine.ts"
+import { Estimates } from "./estimates.ts"
+import { Fleet } from "./fleet.ts"
+
+/** A worker answers nobody for 4 s; what is relayed has to be back before that. */
+const RELAY_TIMEOUT_MS = 2_500
+/** A worker that we sent to its owner and that is back this soon could not reach it. */
+const BACK_SOON_MS = 20_000
+const RELAY_FOR_MS = 30_000
+const COUNTS_TIMEOUT_MS = 300
+
+/** One controller: its parts' engines, and what they share. */
+export class Controller {
+  readonly membership: Membership
+  readonly fleet: Fleet
+  private readonly engines = new Map<
+    PartName,
+    { readonly engine: PartEngine; readonly fiber: Fiber.Fiber<unknown> }
+  >()
+  private readonly sentAway = new Map<MachineId, Moment>()
+  private readonly relayUntil = new Map<MachineId, Moment>()
+  private readonly estimates = new Estimates()
+  private hires = 0
+
+  constructor(
+    private readonly platform: Platform,
+    private readonly operators: Operators,
+    private readonly nodes: ReadonlyArray<NodeName>,
+    private readonly state: StateClient,
+    private readonly cloud: CloudClient,
+    private readonly exchange: Exchange["Service"],
+    private readonly peers: PeerChannel,
+    private readonly time: Timekeeper,
+    private readonly log: Log,
+    private readonly fork: (effect: Effect.Effect<unknown>) => Fiber.Fiber<unknown>,
+  ) {
+    const keeper: PartKeeper = {
+      gained: (part, epoch) => this.gained(part, epoch),
+      lost: (part) => this.lost(part),
+    }
+    const { membership } = operators
+    this.membership = new Membership(
+      {
+        self: platform.node_name,
+        nodes,
+        grantTtlMs: membership["grant-ttl-ms"],
+        grantMarginMs: membership["grant-margin-ms"],
+      },
+      state,
+      keeper,
+      time.moment,
+      log,
+    )
+    this.fleet = new Fleet(
+      cloud,
+      state,
+      this.membership.mirror,
+      time.moment,
+      operators.provisioning["refusal-memory-s"],
+      Math.max(1_000, (1000 * nodes.length * 2) / platform.facts.cloud.rps),
+      () => this.engines.size > 0,
+    )
+  }
+
+  readonly run: Effect.Effect<void> = Effect.suspend(() =>
+    Effect.all(
+      [this.membership.run, this.fleet.run, this.peers.serve((kind, body) => this.answerPeer(kind, body))],
+      { concurrency: "unbounded", discard: true },
+    ),
+  )
+
+  private gained(part: PartName, epoch: Stamp): void {
+    const context: EngineContext = {
+      platform: this.platform,
+      operators: this.operators,
+      nodes: this.nodes.length,
+      state: this.state,
+      cloud: this.cloud,
+      exchange: this.exchange,
+      membership: this.membership,
+      fleet: this.fleet,
+      estimates: this.estimates,
+      time: this.time,
+      log: this.log,
+      nextHire: () =>
+        `${this.membership.incarnation() ?? this.platform.node_name}-${++this.hires}` as HireName,
+      fork: this.fork,
+    }
+    const engine = new PartEngine(part, epoch, context)
+    const guarded = engine.run.pipe(
+      Effect.catchCause((cause) => {
+        if (Cause.hasInterruptsOnly(cause)) return Effect.void
+        // A bug must not leave a part with an owner that does nothing: start over with a new epoch.
+        this.log.error("part failed", { part, cause: Cause.pretty(cause) })
+        return Effect.andThen(
+          Effect.sleep(1_000),
+          Effect.sync(() => this.membership.disown(part)),
+        )
+      }),
+    )
+    this.engines.set(part, { engine, fiber: this.fork(guarded) })
+  }
+  private lost(part: PartName): void {
+    const held = this.engines.get(part)
+    if (held === undefined) return
+    this.engines.delete(part)
+    held.engine.stop()
+    this.fork(Fiber.interrupt(held.fiber))
+  }
+
+  // --- workers --------------------------------------------------------------
+
+  report(body: Report): Effect.Effect<Outgoing> {
+    return Effect.suspend((): Effect.Effect<Outgoing> => {
+      const record = this.membership.mirror.get<MachineRecord>(keys.machine(body.host))
+      const part = record?.v.part ?? DEADLINE
+      const own = this.engines.get(part)
+      if (own !== undefined) return Effect.succeed(own.engine.report(body))
+      const owner = this.membership.owner(part)
+      if (owner === null || owner === this.platform.node_name)
+        return Effect.succeed({ status: 503, body: {} })
+      return this.passOn(body, owner)
+    })
+  }
+
+  /** Sends the worker to its owner, or, once that has failed, relays for it. It is never answered 200 on our own. */
+  private passOn(body: Report, owner: NodeName): Effect.Effect<Outgoing> {
+    const now = this.time.moment()
+    const relaying = now < (this.relayUntil.get(body.host) ?? 0)
+    const back = now < later(this.sentAway.get(body.host) ?? (-Infinity as Moment), BACK_SOON_MS)
+    if (!relaying && !back) {
+      this.sentAway.set(body.host, now)
+      return Effect.succeed({ status: 421, body: { steward: owner } })
+    }
+    if (!relaying) {
+      this.sentAway.delete(body.host)
+      this.relayUntil.set(body.host, later(now, RELAY_FOR_MS))
+    }
+    return this.peers.ask(owner, "report", body, RELAY_TIMEOUT_MS).pipe(
+      Effect.map((answer) => answer as Outgoing),
+      Effect.orElseSucceed((): Outgoing => ({ status: 503, body: {} })),
+    )
+  }
+
+  private answerPeer(kind: string, body: unknown): Effect.Effect<unknown> {
+    if (kind === "report") {
+      const report = decodeReport(body)
+      if (Result.isFailure(report)) return Effect.succeed({ status: 400, body: {} })
+      const record = this.membership.mirror.get<MachineRecord>(keys.machine(report.success.host))
+      const own = this.engines.get(record?.v.part ?? DEADLINE)
+      return Effect.succeed(own?.engine.report(report.success) ?? { status: 503, body: {} })
+    }
+    if (kind === "job") {
+      const entry = body as { path: string; v: JobRecord; stamp: Stamp }
+      this.membership.mirror.hint(entry)
+      return Effect.succeed(true)
+    }
+    if (kind === "counts") return Effect.succeed(this.ownCounts(body as JobId))
+    return Effect.succeed(null)
+  }
+
+  // --- what the users' side needs --------------------------------------------
+
+  catalog(): ReadonlyMap<TypeName, MachineType> | null {
+    return this.fleet.catalog()
+  }
+
+  /** A job was accepted or cancelled: its owner should know before the watch tells it. */
+  jobChanged(path: string, record: JobRecord, stamp: Stamp): Effect.Effect<void> {
+    return Effect.suspend(() => {
+      const entry = { path, v: record, stamp }
+      this.membership.mirror.hint(entry)
+      const owner = this.ownerOf(record.request)
+      if (owner === null || owner === this.platform.node_name) return Effect.void
+      this.fork(Effect.ignore(this.peers.ask(owner, "job", entry, 1_000)))
+      return Effect.void
+    })
+  }
+
+  private ownerOf(request: Pick<JobRequest, "id" | "due_s">): NodeName | null {
+    return this.membership.owner(partOf(request.id, request.due_s != null, this.nodes.length))
+  }
+  private ownCounts(id: JobId) {
+    for (const { engine } of this.engines.values()) {
+      const counts = engine.counts(id)
+      if (counts !== null) return counts
+    }
+    return null
+  }
+  /** Tasks done and running, for display; null when the owner can't say quickly. */
+  counts(request: JobRequest): Effect.Effect<{ readonly done: number; readonly running: number } | null> {
+    return Effect.suspend(() => {
+      const own = this.ownCounts(request.id)
+      const owner = this.ownerOf(request)
+      if (own !== null || owner === null || owner === this.platform.node_name) return Effect.succeed(own)
+      return this.peers.ask(owner, "counts", request.id, COUNTS_TIMEOUT_MS).pipe(
+        Effect.map((c) => c as { done: number; running: number } | null),
+        Effect.orElseSucceed(() => null),
+      )
+    })
+  }
+}
+
+export const makeController = (
+  platform: Platform,
+  operators: Operators,
+  nodes: ReadonlyArray<NodeName>,
+  state: StateClient,
+  cloud: CloudClient,
+  peers: PeerChannel,
+  log: Log,
+): Effect.Effect<Controller, never, Exchange> =>
+  Effect.gen(function* () {
+    const exchange = yield* Exchange
+    const time = yield* timekeeper
+    const context = yield* Effect.context<never>()
+    const fork = (effect: Effect.Effect<unknown>) =>
+      Effect.runForkWith(context)(
+        Effect.tapCause(effect, (cause) =>
+          Effect.sync(() => {
+            if (!Cause.hasInterruptsOnly(cause)) log.error("task failed", { cause: Cause.pretty(cause) })
+          }),
+        ),
+      )
+    return new Controller(platform, operators, nodes, state, cloud, exchange, peers, time, log, fork)
+  })
--- /dev/null
+++ b/packages/controller/src/engine.ts
@@ -0,0 +1,1000 @@
+import type { CloudClient } from "@sorreltally/cloud"
+import { JobState, type Placement } from "@sorreltally/jobs"
+import { DEADLINE, type Membership, partOf } from "@sorreltally/membership"
+import {
+  type JobView,
+  type MachineView,
+  type Plan,
+  type PlannedHire,
+  plan,
+  slotsIn,
+  type TeamRoom,
+} from "@sorreltally/planner"
+import type { Operators, Platform } from "@sorreltally/settings"
+import {
+  type Change,
+  type ChunkRecord,
+  type Condition,
+  type Entry,
+  type FinalRecord,
+  type JobRecord,
+  keys,
+  type MachineRecord,
+  type StateClient,
+} from "@sorreltally/state"
+import {
+  ABSENT,
+  type Attempt,
+  decodeReport,
+  type Exchange,
+  type HireName,
+  type JobId,
+  type Log,
+  later,
+  type MachineId,
+  type Moment,
+  NEVER,
+  type Outgoing,
+  type PartName,
+  type Report,
+  type Stamp,
+  splitTaskId,
+  type TaskId,
+  type TeamName,
+  type Timekeeper,
+  taskId,
+  urgencyRank,
+  type ZoneName,
+} from "@sorreltally/wire"
+import { type Outcome, WorkerSession } from "@sorreltally/workers"
+import { Effect, Result } from "effect"
+import type { Estimates } from "./estimates.ts"
+import type { Fleet } from "./fleet.ts"
+import { Shares } from "./shares.ts"
+import { Signal } from "./signal.ts"
+
+export interface EngineContext {
+  readonly platform: Platform
+  readonly operators: Operators
+  readonly nodes: number
+  readonly state: StateClient
+  readonly cloud: CloudClient
+  readonly exchange: Exchange["Service"]
+  readonly membership: Membership
+  readonly fleet: Fleet
+  readonly estimates: Estimates
+  readonly time: Timekeeper
+  readonly log: Log
+  readonly nextHire: () => HireName
+  /** Runs an effect beside the engine's loops, for as long as the engine lives. */
+  readonly fork: (effect: Effect.Effect<unknown>) => void
+}
+
+const PLAN_SPACING_MS = 60
+const TICK_MS = 1_000
+const ORDERS_TIMEOUT_MS = 3_000
+const ORDERS_BACKOFF_MS = 4_000
+/** A transaction may be 64 KiB; conditions and names take some of it. */
+const TXN_BYTES = 52 * 1024
+/** Times `startup_s` after which a machine that hasn't come up is given back. */
+const NEVER_BOOTED = 4
+/** Times `startup_s` after which a boot no longer counts as coming: the design's weak spot, see docs/design.md. */
+const OVERDUE_BOOT = 1.6
+const ATTEMPTS_PER_EPOCH = 2 ** 20
+/** A listed machine that no record knows may still be another node's rental under way. */
+const ADOPT_AFTER_S = 10
+
+interface Tenancy {
+  holder: JobId | null
+  /** When it was rented, by our clock. */
+  readonly rentedAt: Moment
+  returning: boolean
+}
+
+/**
+ * Everything one part's owner does: its jobs, its machines, and the loops
+ * that bring what is closer to what is wanted. Lives from a take-over until
+ * the part is lost.
+ */
+export class PartEngine {
+  readonly jobs = new Map<JobId, JobState>()
+  private readonly machines = new Map<MachineId, WorkerSession>()
+  private readonly tenancies = new Map<MachineId, Tenancy>()
+  private readonly hiring = new Map<HireName, PlannedHire>()
+  private readonly holderOf = new Map<MachineId, JobId>()
+  private readonly fencing = new Set<MachineId>()
+  private readonly adopting = new Set<MachineId>()
+  private readonly changedJobs = new Set<JobState>()
+  private readonly planSignal = new Signal()
+  private readonly commitSignal = new Signal()
+  private readonly shares: Shares
+  private attempts = 0
+  private committing: ReadonlySet<Placement> = new Set()
+  ready = false
+  private over = false
+  private deaf: () => void = () => {}
+  /** Machines whose record was deleted; a lagging list may still show them. */
+  private readonly deleted = new Set<MachineId>()
+
+  constructor(
+    readonly part: PartName,
+    readonly epoch: Stamp,
+    private readonly ctx: EngineContext,
+  ) {
+    this.shares = new Shares(
+      part,
+      epoch,
+      ctx.platform.facts.teams,
+      ctx.membership.mirror,
+      ctx.state,
+      ctx.time.moment,
+      () => this.planSignal.notify(),
+    )
+  }
+
+  stop(): void {
+    this.over = true
+    this.ready = false
+    this.deaf()
+  }
+  private get active(): boolean {
+    return !this.over && this.ctx.membership.entitled()
+  }
+
+  readonly run: Effect.Effect<void> = Effect.suspend(() =>
+    Effect.gen({ self: this }, function* () {
+      yield* this.load()
+      yield* Effect.all([this.planLoop(), this.commitLoop(), this.fleetLoop()], {
+        concurrency: "unbounded",
+        discard: true,
+      })
+    }),
+  )
+
+  // --- taking the part over -------------------------------------------------
+
+  private load() {
+    return Effect.gen({ self: this }, function* () {
+      const { mirror } = this.ctx.membership
+      // Every job and machine of this part that a former owner acted on is in
+      // the mirror once it has reached our epoch.
+      while (mirror.revision < this.epoch || this.ctx.fleet.catalog() === null) yield* Effect.sleep(20)
+      let entries: ReadonlyArray<Entry> = []
+      for (;;) {
+        const read = yield* Effect.result(this.ctx.state.list(keys.places))
+        if (Result.isSuccess(read)) {
+          entries = read.success.items
+          break
+        }
+        yield* Effect.sleep(200)
+      }
+      if (this.over) return
+      const now = this.ctx.time.moment()
+      for (const entry of mirror.under("s/machine/")) this.machineChanged(entry.path, entry)
+      for (const entry of mirror.under("s/job/")) this.jobChanged(entry.path, entry)
+      const unknown: Array<Entry> = []
+      for (const entry of entries) {
+        const [, id, chunk] = entry.path.split("/")
+        const job = this.jobs.get(id as JobId)
+        if (job !== undefined) job.restore(Number(chunk), entry.v as ChunkRecord, entry.stamp, now)
+        else if (mirror.get(keys.job(id ?? "")) === null) unknown.push(entry)
+      }
+      for (const job of this.jobs.values()) {
+        for (const placement of [...job.placements.values()]) {
+          const session = this.machines.get(placement.machine)
+          // A record is deleted only once the machine's deletion was answered,
+          // and a machine moves only when no task can be on it.
+          if (session === undefined) job.clear(placement)
+          else session.placements.set(placement.task, placement)
+          if (job.withdrawn) placement.stop = { why: "withdrawn", leewayS: 0, since: now }
+        }
+        this.settleJob(job)
+      }
+      this.deaf = mirror.listen((path, entry) => {
+        if (path.startsWith("s/job/")) this.jobChanged(path, entry)
+        else if (path.startsWith("s/machine/")) this.machineChanged(path, entry)
+      })
+      // Jobs that came while the placements were read.
+      for (const entry of mirror.under("s/job/")) this.jobChanged(entry.path, entry)
+      for (const entry of mirror.under("s/machine/")) this.machineChanged(entry.path, entry)
+      this.ready = true
+      this.ctx.log.info("part ready", {
+        part: this.part,
+        epoch: this.epoch,
+        jobs: this.jobs.size,
+        machines: this.machines.size,
+        leftovers: unknown.length,
+      })
+      if (this.part === DEADLINE) this.ctx.fork(this.tidy(unknown))
+      this.planSignal.notify()
+    })
+  }
+
+  /** Placements of jobs that are over, left by an owner that died between two transactions. */
+  private tidy(leftovers: ReadonlyArray<Entry>) {
+    return Effect.gen({ self: this }, function* () {
+      for (const entry of leftovers) {
+        if (this.over) return
+        yield* Effect.ignore(
+          this.ctx.state.multi([{ path: entry.path, stamp: entry.stamp }], [{ delete: entry.path }], 3),
+        )
+      }
+    })
+  }
+
+  private jobChanged(path: string, entry: Entry | null): void {
+    const id = path.slice("s/job/".length) as JobId
+    const known = this.jobs.get(id)
+    if (entry === null) return
+    const record = entry.v as JobRecord
+    if (partOf(id, record.request.due_s != null, this.ctx.nodes) !== this.part) return
+    if (known === undefined) {
+      this.jobs.set(id, new JobState(id, record, entry.stamp))
+      this.planSignal.notify()
+      return
+    }
+    if (entry.stamp > known.stamp) known.stamp = entry.stamp
+    if (record.withdrawn === true && !known.withdrawn) this.withdraw(known)
+  }
+
+  private withdraw(job: JobState): void {
+    job.withdrawn = true
+    const since = this.ctx.time.moment()
+    for (const placement of [...job.placements.values()]) {
+      if (!placement.durable && !this.committing.has(placement)) this.unplace(placement)
+      else placement.stop = { why: "withdrawn", leewayS: 0, since }
+    }
+    this.settleJob(job)
+    this.pushOrders()
+  }
+
+  private unplace(placement: Placement): void {
+    this.machines.get(placement.machine)?.placements.delete(placement.task)
+    placement.job.clear(placement)
+  }
+
+  /** A job whose end is to be written down, or whose tasks changed. */
+  private settleJob(job: JobState): void {
+    if (job.complete || (job.withdrawn && job.placements.size === 0) || job.dirty.size > 0) {
+      this.changedJobs.add(job)
+      this.commitSignal.notify()
+    }
+  }
+
+  private machineChanged(path: string, entry: Entry | null): void {
+    const id = path.slice("s/machine/".length) as MachineId
+    const session = this.machines.get(id)
+    if (entry === null) {
+      this.deleted.add(id)
+      if (session !== undefined) this.dropMachine(session, "deleted")
+      return
+    }
+    const record = entry.v as MachineRecord
+    if (record.part !== this.part) {
+      if (session !== undefined) this.dropMachine(session, "moved")
+      return
+    }
+    if (session !== undefined) {
+      session.record = record
+      session.recordStamp = entry.stamp
+      return
+    }
+    const type = this.ctx.fleet.catalog()?.get(record.build)
+    if (type === undefined) return
+    const now = this.ctx.time.moment()
+    const { lease_s, report_s } = this.ctx.platform.facts.workers
+    const fresh = new WorkerSession(
+      id,
+      record,
+      entry.stamp,
+      type,
+      this.epoch,
+      { leaseS: lease_s, reportS: report_s },
+      now,
+    )
+    const age = Math.max(0, this.ctx.time.wall() - record.rented)
+    this.machines.set(id, fresh)
+    this.tenancies.set(id, {
+      holder: this.holderOf.get(id) ?? null,
+      rentedAt: later(now, -age),
+      returning: false,
+    })
+    this.holderOf.delete(id)
+    this.planSignal.notify()
+  }
+
+  private dropMachine(session: WorkerSession, why: string): void {
+    this.machines.delete(session.id)
+    this.tenancies.delete(session.id)
+    this.apply(session, session.clearAll(why))
+  }
+
+  // --- workers --------------------------------------------------------------
+
+  owns(machine: MachineId): boolean {
+    return this.machines.has(machine)
+  }
+
+  /** The answer to a report of one of our machines; null when we may not answer. */
+  report(body: Report): Outgoing {
+    const session = this.machines.get(body.host)
+    if (!this.ready || !this.active || session === undefined || session.outdated(body))
+      return { status: 503, body: {} }
+    const now = this.ctx.time.moment()
+    const outcomes = session.observe(body, "report", now)
+    if (outcomes !== null) this.apply(session, outcomes)
+    const orders = session.orders(now, (task) => this.finishIsDurable(task))
+    session.answering(orders, now)
+    this.afterBody(session)
+    return { status: 200, body: { baton: session.token, orders } }
+  }
+
+  private finishIsDurable(task: TaskId): boolean {
+    const { job, index } = splitTaskId(task)
+    return this.jobs.get(job)?.finishIsDurable(index) ?? true
+  }
+
+  private afterBody(session: WorkerSession): void {
+    if (session.needsFence()) this.fence(session)
+    if (session.warningUntil !== null) this.planSignal.notify()
+  }
+
+  /** Raises the machine's token, so that a start that got lost can't take effect any more. */
+  private fence(session: WorkerSession): void {
+    if (this.fencing.has(session.id)) return
+    this.fencing.add(session.id)
+    const path = keys.machine(session.id)
+    const when = [this.partCondition(), { path, stamp: session.recordStamp }]
+    this.ctx.fork(
+      Effect.gen({ self: this }, function* () {
+        const done = yield* Effect.result(this.ctx.state.multi(when, [{ set: path, v: session.record }], 2))
+        if (Result.isSuccess(done) && done.success.ok) {
+          this.ctx.membership.mirror.hint({ path, v: session.record, stamp: done.success.epoch })
+        } else {
+          const read = yield* Effect.result(this.ctx.state.get(path))
+          if (Result.isSuccess(read) && read.success !== null) this.ctx.membership.mirror.hint(read.success)
+          yield* Effect.sleep(300)
+        }
+      }).pipe(Effect.ensuring(Effect.sync(() => this.fencing.delete(session.id)))),
+    )
+  }
+
+  private apply(session: WorkerSession, outcomes: ReadonlyArray<Outcome>): void {
+    if (outcomes.length === 0) return
+    const now = this.ctx.time.moment()
+    for (const outcome of outcomes) {
+      const { placement } = outcome
+      const { job } = placement
+      if (outcome.kind === "running") continue
+      if (outcome.kind === "done") {
+        job.finish(placement.index)
+        job.failures = 0
+        job.notBefore = null
+        if (placement.runningSince !== null && placement.stop === null) {
+          this.ctx.estimates.learn(job.request, (now - placement.runningSince) / 1000)
+        }
+      } else {
+        job.clear(placement)
+        if (outcome.cause === "error" || outcome.cause === "no_room" || outcome.cause === "unknown") {
+          job.failures++
+          // A job that fails everywhere is tried ever less often.
+          job.notBefore = later(now, Math.min(30_000, 250 * 2 ** Math.min(7, job.failures)))
+        }
+        this.ctx.log.debug("task cleared", {
+          task: placement.task,
+          machine: session.id,
+          cause: outcome.cause,
+        })
+      }
+      this.settleJob(job)
+    }
+    this.planSignal.notify()
+  }
+
+  /** Sends what can't wait for the next report straight to the workers. */
+  private pushOrders(): void {
+    if (!this.active) return
+    const now = this.ctx.time.moment()
+    for (const session of this.machines.values()) {
+      if (session.ordersInFlight || session.address === null || session.tenure === null) continue
+      if (now < session.ordersBadUntil) continue
+      const orders = session.orders(now, (task) => this.finishIsDurable(task))
+      if (!orders.some((o) => o.verb !== "forget")) continue
+      this.ctx.fork(this.sendOrders(session))
+    }
+  }
+
+  private sendOrders(session: WorkerSession) {
+    return Effect.suspend(() => {
+      const now = this.ctx.time.moment()
+      const { address, tenure, token } = session
+      if (session.ordersInFlight || address === null || tenure === null || !this.active) return Effect.void
+      const orders = session.orders(now, (task) => this.finishIsDurable(task))
+      session.sending(orders)
+      const body = { baton: token, tenure, orders }
+      return Effect.gen({ self: this }, function* () {
+        const reply = yield* Effect.result(
+          this.ctx.exchange.call({
+            address,
+            method: "POST",
+            path: "/orders",
+            body,
+            timeoutMs: ORDERS_TIMEOUT_MS,
+          }),
+        )
+        const status = Result.isSuccess(reply) ? reply.success.status : 0
+        session.sent(orders, token, status === 200 || status === 409)
+        if (this.over || this.machines.get(session.id) !== session) return
+        const decoded = Result.isSuccess(reply) ? decodeReport(reply.success.body) : null
+        if (decoded === null || Result.isFailure(decoded)) {
+          session.ordersBadUntil = later(this.ctx.time.moment(), ORDERS_BACKOFF_MS)
+          return
+        }
+        const outcomes = session.observe(decoded.success, "direct", this.ctx.time.moment())
+        if (outcomes !== null) this.apply(session, outcomes)
+        this.afterBody(session)
+        this.pushOrders()
+      })
+    })
+  }
+
+  // --- durable records ------------------------------------------------------
+
+  private partCondition(): Condition {
+    return { path: keys.part(this.part), stamp: this.epoch }
+  }
+
+  private commitLoop() {
+    return Effect.gen({ self: this }, function* () {
+      for (;;) {
+        if (this.changedJobs.size === 0) yield* this.commitSignal.wait(TICK_MS)
+        if (this.over) return
+        if (this.changedJobs.size > 0 && this.active) yield* this.commit()
+        else if (this.changedJobs.size > 0) yield* Effect.sleep(100)
+      }
+    })
+  }
+
+  /** One transaction for all that is ready. */
+  private commit() {
+    return Effect.gen({ self: this }, function* () {
+      const { txn_ops } = this.ctx.platform.facts.state
+      const when: Array<Condition> = [this.partCondition()]
+      const apply: Array<Change> = []
+      const chunks: Array<{ readonly job: JobState; readonly chunk: number; readonly saved: () => void }> = []
+      const ended: Array<JobState> = []
+      const inFlight = new Set<Placement>()
+      let bytes = 0
+      for (const job of this.changedJobs) {
+        if (apply.length >= txn_ops) break
+        const jobCondition = { path: keys.job(job.id), stamp: job.stamp }
+        if (job.complete || (job.withdrawn && job.placements.size === 0)) {
+          if (apply.length + 2 > txn_ops) break
+          const status: FinalRecord = { status: job.withdrawn ? "withdrawn" : "done" }
+          when.push(jobCondition, { path: keys.final(job.id), stamp: ABSENT })
+          apply.push({ set: keys.final(job.id), v: status }, { delete: keys.job(job.id) })
+          for (const chunk of job.storedChunks()) {
+            if (apply.length < txn_ops) apply.push({ delete: keys.place(job.id, chunk) })
+          }
+          ended.push(job)
+          continue
+        }
+        let first = true
+        for (const chunk of job.dirty) {
+          const { record, saved } = job.encode(chunk)
+          const size = JSON.stringify(record).length
+          if (apply.length >= txn_ops || (apply.length > 0 && bytes + size > TXN_BYTES)) break
+          bytes += size
+          if (first) when.push(jobCondition)
+          first = false
+          const path = keys.place(job.id, chunk)
+          when.push({ path, stamp: job.chunkStamp(chunk) })
+          apply.push({ set: path, v: record })
+          chunks.push({ job, chunk, saved })
+          for (const index of Object.keys(record.at)) {
+            const placement = job.placements.get(chunk * job.chunkSize + Number(index))
+            if (placement !== undefined) inFlight.add(placement)
+          }
+        }
+      }
+      for (const { job, chunk } of chunks) job.dirty.delete(chunk)
+      for (const job of [...this.changedJobs]) {
+        if (job.dirty.size === 0 && !ended.includes(job)) this.changedJobs.delete(job)
+      }
+      if (apply.length === 0) return
+      this.committing = inFlight
+      const done = yield* Effect.result(this.ctx.state.multi(when, apply, 2))
+      this.committing = new Set()
+      if (this.over) return
+      if (Result.isSuccess(done) && done.success.ok) {
+        for (const { job, chunk, saved } of chunks) {
+          job.setChunkStamp(chunk, done.success.epoch)
+          saved()
+        }
+        for (const job of ended) this.forgetJob(job, done.success.epoch)
+        this.pushOrders()
+        return
+      }
+      for (const { job, chunk } of chunks) {
+        job.dirty.add(chunk)
+        this.changedJobs.add(job)
+      }
+      if (Result.isFailure(done) && done.failure.outcome === "refused") {
+        yield* Effect.sleep(150)
+      } else if (Result.isFailure(done)) {
+        this.ctx.log.info("transaction without an answer", { part: this.part })
+        yield* this.reread(when.map((c) => c.path))
+      } else if (!done.success.ok) {
+        yield* this.reread(done.success.failed)
+      }
+      this.dropWithdrawn()
+    })
+  }
+
+  private forgetJob(job: JobState, epoch: Stamp): void {
+    this.jobs.delete(job.id)
+    this.changedJobs.delete(job)
+    this.ctx.membership.mirror.apply(
+      [{ path: keys.job(job.id), v: null, stamp: epoch, gone: true }],
+      this.ctx.membership.mirror.revision,
+    )
+    for (const tenancy of this.tenancies.values()) if (tenancy.holder === job.id) tenancy.holder = null
+    this.planSignal.notify()
+  }
+
+  /** After a failed or unanswered transaction: what do the keys say? */
+  private reread(paths: ReadonlyArray<string>) {
+    return Effect.gen({ self: this }, function* () {
+      for (const path of paths) {
+        const read = yield* Effect.result(this.ctx.state.get(path))
+        if (Result.isFailure(read)) {
+          yield* Effect.sleep(200)
+          continue
+        }
+        if (this.over) return
+        const entry = read.success
+        const [head, id, chunk] = path.split("/")
+        if (path === keys.part(this.part)) {
+          if (entry === null || entry.stamp !== this.epoch) {
+            if (entry !== null) this.ctx.membership.mirror.hint(entry)
+            this.ctx.membership.disown(this.part)
+            return
+          }
+        } else if (head === "place") {
+          this.jobs.get(id as JobId)?.setChunkStamp(Number(chunk), entry?.stamp ?? ABSENT)
+        } else if (path.startsWith("s/job/")) {
+          const job = this.jobs.get(path.slice("s/job/".length) as JobId)
+          if (entry !== null) {
+            this.ctx.membership.mirror.hint(entry)
+            this.jobChanged(path, entry)
+          } else if (job !== undefined && (job.complete || job.withdrawn)) {
+            // Our own transaction that ended it, unheard.
+            this.forgetJob(job, this.ctx.membership.mirror.revision as number as Stamp)
+          }
+        }
+      }
+    })
+  }
+
+  private dropWithdrawn(): void {
+    for (const job of this.changedJobs) {
+      if (!job.withdrawn) continue
+      for (const placement of [...job.placements.values()]) if (!placement.durable) this.unplace(placement)
+      this.settleJob(job)
+    }
+  }
+
+  // --- planning -------------------------------------------------------------
+
+  private planLoop() {
+    return Effect.gen({ self: this }, function* () {
+      for (;;) {
+        yield* this.planSignal.wait(TICK_MS)
+        if (this.over) return
+        if (this.active) {
+          this.checkLeases()
+          this.checkWarnings()
+          this.planOnce()
+          this.pushOrders()
+        }
+        yield* Effect.sleep(PLAN_SPACING_MS)
+      }
+    })
+  }
+
+  private checkLeases(): void {
+    const now = this.ctx.time.moment()
+    for (const session of this.machines.values()) {
+      if (session.leaseOver(now) && (session.up || session.placements.size > 0)) {
+        this.ctx.log.info("machine's lease is over", { machine: session.id, tasks: session.placements.size })
+        this.apply(session, session.endTenure())
+      }
+    }
+  }
+
+  /** A machine about to be taken back: whatever can save does so in time, the rest runs on until the end. */
+  private checkWarnings(): void {
+    const now = this.ctx.time.moment()
+    for (const session of this.machines.values()) {
+      if (session.warningUntil === null) continue
+      const leftS = (session.warningUntil - now) / 1000
+      for (const placement of session.placements.values()) {
+        const { snapshot_s, flush_s } = placement.job.request
+        if (placement.stop !== null || snapshot_s === 0) continue
+        // Reports, and the stop itself, need a moment too.
+        if (leftS < flush_s + 3)
+          placement.stop = { why: "drain", leewayS: Math.max(flush_s, leftS), since: now }
+      }
+    }
+  }
+
+  private teamUse(): Map<TeamName, TeamRoom> {
+    const used = new Map<TeamName, TeamRoom>()
+    for (const team of this.ctx.platform.facts.teams) used.set(team.name, { cores: 0, accelerators: 0 })
+    for (const job of this.jobs.values()) {
+      const u = used.get(job.request.owner)
+      if (u === undefined) continue
+      u.cores += job.request.cores * job.placements.size
+      u.accelerators += job.request.accelerators * job.placements.size
+    }
+    return used
+  }
+
+  private planOnce(): void {
+    const now = this.ctx.time.moment()
+    const used = this.teamUse()
+    this.adjustShares(used)
+    const teams = new Map<TeamName, TeamRoom>()
+    for (const [team, u] of used) {
+      const share = this.shares.share(team)
+      teams.set(team, { cores: share.cpus - u.cores, accelerators: share.gpus - u.accelerators })
+    }
+    const decided = plan({
+      jobs: this.jobViews(now),
+      machines: this.machineViews(now),
+      teams,
+      market: this.ctx.fleet.market(),
+      deploymentS: this.ctx.operators.provisioning["deployment-s"],
+    })
+    this.carryOut(decided, now)
+  }
+
+  private adjustShares(used: ReadonlyMap<TeamName, TeamRoom>): void {
+    const changes = this.shares.adjust((team) => {
+      const u = used.get(team) ?? { cores: 0, accelerators: 0 }
+      let cpus = u.cores
+      let gpus = u.accelerators
+      for (const job of this.jobs.values()) {
+        if (job.request.owner !== team || job.withdrawn) continue
+        cpus += job.queued * job.request.cores
+        gpus += job.queued * job.request.accelerators
+      }
+      return { used: { cpus: u.cores, gpus: u.accelerators }, wanted: { cpus, gpus } }
+    })
+    for (const change of changes) this.ctx.fork(change)
+  }
+
+  private jobViews(now: Moment): ReadonlyArray<JobView> {
+    const wall = this.ctx.time.wall()
+    const ahead = new Map<TeamName, number>()
+    const views: Array<JobView> = []
+    const bySubmission = [...this.jobs.values()].sort((a, b) => a.submitted - b.submitted)
+    for (const job of bySubmission) {
+      if (job.withdrawn || job.complete) continue
+      const { request } = job
+      const team = this.ctx.platform.facts.teams.find((t) => t.name === request.owner)
+      const demand = (ahead.get(request.owner) ?? 0) + (job.pieces - job.done) * request.cores
+      ahead.set(request.owner, demand)
+      const ageS = Math.max(0, (wall - job.submitted) / 1000)
+      const executionS = this.ctx.estimates.executionS(request)
+      const zones = new Map<ZoneName, number>()
+      let running = 0
+      for (const placement of job.placements.values()) {
+        const zone = this.machines.get(placement.machine)?.record.site
+        if (zone !== undefined) zones.set(zone, (zones.get(zone) ?? 0) + 1)
+        if (placement.stop === null) running++
+      }
+      views.push({
+        id: job.id,
+        request,
+        rank: urgencyRank[request.urgency],
+        queued: job.queued,
+        running,
+        zones,
+        timeLeftS: request.due_s == null ? null : request.due_s - ageS,
+        ageS,
+        executionS,
+        startWithinS: this.startWithin(request.lane, executionS),
+        withinGuarantee: team !== undefined && demand <= team.cpus,
+        mayStart: job.notBefore === null || now >= job.notBefore,
+      })
+    }
+    return views
+  }
+
+  private startWithin(lane: string, executionS: number): number | null {
+    let within: number | null = null
+    for (const objective of this.ctx.platform.facts.objectives) {
+      if (objective.class !== lane || objective.within_s == null) continue
+      const start = objective.kind === "finished" ? objective.within_s - executionS : objective.within_s
+      if (objective.kind === "wait" || objective.kind === "finished")
+        within = Math.min(within ?? start, start)
+    }
+    return within
+  }
+
+  private machineViews(now: Moment): ReadonlyArray<MachineView> {
+    const views: Array<MachineView> = []
+    for (const session of this.machines.values()) {
+      const tenancy = this.tenancies.get(session.id)!
+      const { type, record } = session
+      let { cores, accelerators, mem_gb } = type
+      for (const { job } of session.placements.values()) {
+        cores -= job.request.cores
+        accelerators -= job.request.accelerators
+        mem_gb -= job.request.mem_gb
+      }
+      const bootingS = (now - tenancy.rentedAt) / 1000
+      const state =
+        tenancy.returning || session.warningUntil !== null
+          ? "away"
+          : session.usable(now)
+            ? "up"
+            : !session.up && session.lastHeard === NEVER && bootingS < type.startup_s * OVERDUE_BOOT
+              ? "coming"
+              : "away"
+      views.push({
+        id: session.id,
+        type,
+        zone: record.site,
+        spot: record.loaners,
+        free: { cores, accelerators, mem_gb },
+        busyTasks: session.placements.size,
+        images: new Set(session.images.keys()),
+        state,
+        holder: tenancy.holder,
+      })
+    }
+    for (const [name, hire] of this.hiring) {
+      for (let i = 0; i < hire.count; i++) {
+        const { type, zone, spot } = hire.hireable
+        views.push({
+          id: `${name}/${i}` as MachineId,
+          type,
+          zone,
+          spot,
+          free: type,
+          busyTasks: 0,
+          images: new Set(),
+          state: "coming",
+          holder: hire.holder,
+        })
+      }
+    }
+    return views
+  }
+
+  private carryOut(decided: Plan, now: Moment): void {
+    for (const { job: id, machine } of decided.placements) {
+      const job = this.jobs.get(id)
+      const session = this.machines.get(machine)
+      if (job === undefined || session === undefined || session.tenure === null) continue
+      const index = job.nextQueued()
+      if (index === null) continue
+      // The epoch makes attempts of different owners differ, the counter those of one.
+      const attempt = (this.epoch * ATTEMPTS_PER_EPOCH + ++this.attempts) as Attempt
+      const placement: Placement = {
+        job,
+        index,
+        task: taskId(job.id, index),
+        machine,
+        tenure: session.tenure,
+        attempt,
+        durable: false,
+        stop: null,
+        placedAt: now,
+        runningSince: null,
+      }
+      job.place(placement)
+      session.placements.set(placement.task, placement)
+      this.changedJobs.add(job)
+    }
+    if (decided.placements.length > 0) this.commitSignal.notify()
+    for (const { machine, holder } of decided.holders) {
+      const tenancy = this.tenancies.get(machine)
+      if (tenancy !== undefined) tenancy.holder = holder
+    }
+    for (const hire of decided.hires) this.hire(hire)
+  }
+
+  // --- machines -------------------------------------------------------------
+
+  private hire(wanted: PlannedHire): void {
+    const most = this.ctx.platform.facts.state.txn_ops
+    const hire: PlannedHire = { ...wanted, count: Math.min(wanted.count, most) }
+    const name = this.ctx.nextHire()
+    this.hiring.set(name, hire)
+    this.ctx.fork(
+      this.carryOutHire(name, hire).pipe(Effect.ensuring(Effect.sync(() => this.hiring.delete(name)))),
+    )
+  }
+
+  private carryOutHire(name: HireName, { hireable, count, holder }: PlannedHire) {
+    return Effect.gen({ self: this }, function* () {
+      const { type, zone, spot } = hireable
+      const request = { hire: name, build: type.name, site: zone, loaners: spot, how_many: count }
+      let rentedAt = this.ctx.time.wall()
+      // The same name until it is answered: a lost answer then rents nothing twice.
+      for (let tries = 0; tries < 20 && !this.over; tries++) {
+        rentedAt = this.ctx.time.wall()
+        const answer = yield* Effect.result(this.ctx.cloud.hire(request))
+        if (Result.isFailure(answer)) {
+          if (answer.failure.status === 400) return
+          yield* Effect.sleep(400)
+          continue
+        }
+        const outcome = answer.success
+        const got = outcome.kind === "rented" ? outcome.machines : []
+        if (got.length < count) this.ctx.fleet.refuse(type.name, zone, spot)
+        this.ctx.log.info("hired", {
+          name,
+          type: type.name,
+          zone,
+          spot,
+          asked: count,
+          got: got.length,
+          for: holder,
+        })
+        if (holder !== null) for (const id of got) this.holderOf.set(id, holder)
+        const record: MachineRecord = {
+          part: this.part,
+          build: type.name,
+          site: zone,
+          loaners: spot,
+          rented: rentedAt,
+        }
+        if (got.length > 0) yield* this.recordMachines(got, record)
+        this.planSignal.notify()
+        return
+      }
+    })
+  }
+
+  /** Gives machines to this part. One that another node recorded first is left to it. */
+  private recordMachines(ids: ReadonlyArray<MachineId>, record: MachineRecord) {
+    return Effect.gen({ self: this }, function* () {
+      for (const id of ids) this.adopting.add(id)
+      const paths = ids.map(keys.machine)
+      while (!this.over) {
+        const when = [this.partCondition(), ...paths.map((path) => ({ path, stamp: ABSENT }))]
+        const apply = paths.map((path) => ({ set: path, v: record }))
+        const done = yield* Effect.result(this.ctx.state.multi(when, apply, 1))
+        if (Result.isSuccess(done)) {
+          if (done.success.ok) {
+            const stamp = done.success.epoch
+            for (const path of paths) this.ctx.membership.mirror.hint({ path, v: record, stamp })
+            break
+          }
+          const { failed } = done.success
+          if (failed.includes(keys.part(this.part))) break
+          for (const path of failed) paths.splice(paths.indexOf(path), 1)
+          if (paths.length === 0) break
+          continue
+        }
+        yield* Effect.sleep(200)
+      }
+      for (const id of ids) this.adopting.delete(id)
+    })
+  }
+
+  private fleetLoop() {
+    return Effect.gen({ self: this }, function* () {
+      for (;;) {
+        yield* Effect.sleep(TICK_MS)
+        if (this.over) return
+        if (!this.active) continue
+        this.checkMachines()
+        if (this.part === DEADLINE) this.adopt()
+      }
+    })
+  }
+
+  private checkMachines(): void {
+    const now = this.ctx.time.moment()
+    const { fleet } = this.ctx
+    const lagMs = this.ctx.platform.facts.cloud.list_lag_s * 1000
+    const windowMs = this.ctx.operators.provisioning["window-s"] * 1000
+    for (const session of this.machines.values()) {
+      const tenancy = this.tenancies.get(session.id)!
+      if (tenancy.returning) continue
+      const listed = fleet.listed.get(session.id)
+      const heldMs = now - tenancy.rentedAt
+      // Gone by the list and silent: asking for its deletion proves it gone, which the list alone does not.
+      const shouldBeListed = fleet.everListed.has(session.id) || heldMs > 4 * lagMs + 2_000
+      const listIsNew = fleet.listedAt > later(now, -3 * lagMs - 4_000)
+      const vanished = listed === undefined && shouldBeListed && listIsNew && session.silentMs(now) > 4_000
+      const failed = listed?.status === "failed"
+      const neverUp = session.lastHeard === NEVER && heldMs > session.type.startup_s * NEVER_BOOTED * 1000
+      if (vanished || failed || neverUp) {
+        this.giveBack(session, vanished ? "vanished" : failed ? "failed" : "never came up")
+        continue
+      }
+      // Held to the end of its window; renewed when it is of use then.
+      const intoWindow = heldMs % windowMs
+      const idle = session.placements.size === 0 && tenancy.holder === null && session.up
+      if (idle && intoWindow > windowMs - 2.5 * TICK_MS && !this.needed(session))
+        this.giveBack(session, "window over")
+    }
+  }
+
+  /** Is there queued work that this idle machine could take? */
+  private needed(session: WorkerSession): boolean {
+    for (const job of this.jobs.values()) {
+      if (job.queued > 0 && !job.withdrawn && slotsIn(job.request, session.type) > 0) return true
+    }
+    return false
+  }
+
+  private giveBack(session: WorkerSession, why: string): void {
+    const tenancy = this.tenancies.get(session.id)
+    if (tenancy === undefined || tenancy.returning) return
+    tenancy.returning = true
+    this.ctx.log.info("machine given back", { machine: session.id, why, tasks: session.placements.size })
+    this.ctx.fork(
+      Effect.gen({ self: this }, function* () {
+        while (!this.over) {
+          const gone = yield* Effect.result(this.ctx.cloud.remove([session.id]))
+          if (Result.isSuccess(gone)) break
+          yield* Effect.sleep(500)
+        }
+        if (this.over) return
+        // The answer is the proof that nothing runs there any more.
+        this.apply(session, session.clearAll("machine deleted"))
+        const path = keys.machine(session.id)
+        while (!this.over && this.machines.get(session.id) === session) {
+          const when = [this.partCondition(), { path, stamp: session.recordStamp }]
+          const done = yield* Effect.result(this.ctx.state.multi(when, [{ delete: path }], 3))
+          if (Result.isSuccess(done) && done.success.ok) {
+            const { mirror } = this.ctx.membership
+            mirror.apply([{ path, v: null, stamp: done.success.epoch, gone: true }], mirror.revision)
+            return
+          }
+          const read = yield* Effect.result(this.ctx.state.get(path))
+          if (Result.isSuccess(read) && read.success !== null) this.ctx.membership.mirror.hint(read.success)
+          else if (Result.isSuccess(read)) return this.dropMachine(session, "deleted")
+          yield* Effect.sleep(500)
+        }
+      }),
+    )
+  }
+
+  /** Machines that the cloud lists and no record knows: rented by a node that died, or there from the start. */
+  private adopt(): void {
+    const { fleet, membership, time } = this.ctx
+    for (const listed of fleet.listed.values()) {
+      if (this.adopting.has(listed.id) || this.machines.has(listed.id)) continue
+      if (membership.mirror.get(keys.machine(listed.id)) !== null) continue
+      if (this.deleted.has(listed.id) || listed.held_s < ADOPT_AFTER_S) continue
+      const rented = time.wall() - listed.held_s * 1000
+      this.ctx.log.info("machine adopted", { machine: listed.id, held: listed.held_s })
+      this.ctx.fork(
+        this.recordMachines([listed.id], {
+          part: this.part,
+          build: listed.build,
+          site: listed.site,
+          loaners: listed.loaners,
+          rented,
+        }),
+      )
+    }
+  }
+
+  /** Tasks for display. */
+  counts(id: JobId): { readonly done: number; readonly running: number } | null {
+    const job = this.jobs.get(id)
+    if (job === undefined) return null
+    let running = 0
+    for (const placement of job.placements.values()) if (placement.runningSince !== null) running++
+    return { done: job.done, running }
+  }
+}
--- /dev/null
+++ b/packages/controller/src/index.ts
@@ -0,0 +1,1 @@
+export * from "./controller.ts"
--- /dev/null
+++ b/packages/controller/src/shares.ts
@@ -0,0 +1,128 @@
+import type { Mirror } from "@sorreltally/membership"
+import type { Team } from "@sorreltally/settings"
+import { keys, type QuotaRecord, type StateClient } from "@sorreltally/state"
+import type { Moment, PartName, Stamp, TeamName } from "@sorreltally/wire"
+import { Effect, Result } from "effect"
+
+interface Amount {
+  readonly cpus: number
+  readonly gpus: number
+}
+const NONE: Amount = { cpus: 0, gpus: 0 }
+const least = (a: Amount, b: Amount): Amount => ({
+  cpus: Math.min(a.cpus, b.cpus),
+  gpus: Math.min(a.gpus, b.gpus),
+})
+
+/** A part keeps this much of a team's limit beyond its need, so that shares don't change with every task. */
+const SLACK = 1 / 8
+const KEEP_MS = 10_000
+
+/**
+ * A part's share of each team's limit. The shares of all parts never exceed
+ * the limit: each owner changes its own part's share alone, on the record's
+ * stamp and fenced by its epoch, and uses a smaller share from the moment it
+ * asks for the reduction.
+ */
+export class Shares {
+  private readonly ceiling = new Map<TeamName, Amount>()
+  private readonly busy = new Set<TeamName>()
+  private readonly surplusSince = new Map<TeamName, Moment>()
+
+  constructor(
+    private readonly part: PartName,
+    private readonly epoch: Stamp,
+    private readonly teams: ReadonlyArray<Team>,
+    private readonly mirror: Mirror,
+    private readonly state: StateClient,
+    private readonly now: () => Moment,
+    private readonly changed: () => void,
+  ) {}
+
+  share(team: TeamName): Amount {
+    const stored = this.mirror.get<QuotaRecord>(keys.quota(team))?.v.shares[this.part] ?? NONE
+    const ceiling = this.ceiling.get(team)
+    return ceiling === undefined ? stored : least(stored, ceiling)
+  }
+
+  /** Works out by how much each share should change; `need` is what is used plus what is queued. */
+  adjust(
+    need: (team: TeamName) => { readonly used: Amount; readonly wanted: Amount },
+  ): ReadonlyArray<Effect.Effect<void>> {
+    const changes: Array<Effect.Effect<void>> = []
+    for (const team of this.teams) {
+      if (this.busy.has(team.name)) continue
+      const { used, wanted } = need(team.name)
+      const share = this.share(team.name)
+      const shares = this.mirror.get<QuotaRecord>(keys.quota(team.name))?.v.shares ?? {}
+      let free: Amount = { cpus: team.cpus_max, gpus: team.gpus_max }
+      for (const s of Object.values(shares)) free = { cpus: free.cpus - s.cpus, gpus: free.gpus - s.gpus }
+      const goal = (u: number, w: number, limit: number) => Math.min(limit, Math.max(u, w) + limit * SLACK)
+      const target: Amount = {
+        cpus: goal(used.cpus, wanted.cpus, team.cpus_max),
+        gpus: goal(used.gpus, wanted.gpus, team.gpus_max),
+      }
+      const short = wanted.cpus > share.cpus || wanted.gpus > share.gpus
+      const canGrow =
+        (free.cpus > 0 && target.cpus > share.cpus) || (free.gpus > 0 && target.gpus > share.gpus)
+      if (short && canGrow) {
+        this.surplusSince.delete(team.name)
+        const grown: Amount = {
+          cpus: share.cpus + Math.max(0, Math.min(free.cpus, target.cpus - share.cpus)),
+          gpus: share.gpus + Math.max(0, Math.min(free.gpus, target.gpus - share.gpus)),
+        }
+        changes.push(this.write(team.name, grown, share))
+      } else if (
+        share.cpus > target.cpus + team.cpus_max * SLACK ||
+        share.gpus > target.gpus + team.gpus_max * SLACK
+      ) {
+        const since = this.surplusSince.get(team.name) ?? this.now()
+        this.surplusSince.set(team.name, since)
+        if (this.now() - since < KEEP_MS) continue
+        this.surplusSince.delete(team.name)
+        changes.push(this.write(team.name, least(share, target), share))
+      } else {
+        this.surplusSince.delete(team.name)
+      }
+    }
+    return changes
+  }
+
+  private write(team: TeamName, next: Amount, current: Amount): Effect.Effect<void> {
+    const path = keys.quota(team)
+    return Effect.suspend(() => {
+      this.busy.add(team)
+      this.ceiling.set(team, least(next, current))
+      const stored = this.mirror.get<QuotaRecord>(path)
+      const record: QuotaRecord = { shares: { ...(stored?.v.shares ?? {}), [this.part]: next } }
+      const when = [
+        { path, stamp: this.mirror.stamp(path) },
+        { path: keys.part(this.part), stamp: this.epoch },
+      ]
+      return Effect.gen({ self: this }, function* () {
+        const done = yield* Effect.result(this.state.multi(when, [{ set: path, v: record }], 2))
+        if (Result.isSuccess(done) && done.success.ok) {
+          this.mirror.hint({ path, v: record, stamp: done.success.epoch })
+          this.ceiling.delete(team)
+        } else {
+          // Refused, raced, or unknown: what the record says now is what counts,
+          // and a late copy is stopped by the stamp once the record has moved.
+          const read = yield* Effect.result(this.state.get(path))
+          if (Result.isSuccess(read)) {
+            if (read.success !== null) this.mirror.hint(read.success)
+            const outcomeKnown = Result.isSuccess(done) || done.failure.outcome === "refused"
+            if (outcomeKnown) this.ceiling.delete(team)
+          }
+          yield* Effect.sleep(300)
+        }
+      }).pipe(
+        Effect.ensuring(
+          Effect.sync(() => {
+            this.busy.delete(team)
+            this.changed()
+          }),
+        ),
+      )
+    })
+  }
+}
--- /dev/null
+++ b/packages/membership/src/index.ts
@@ -0,0 +1,3 @@
+export * from "./membership.ts"
+export * from "./mirror.ts"
+export * from "./parts.ts"
--- /dev/null
+++ b/packages/membership/src/parts.ts
@@ -0,0 +1,36 @@
+import type { JobId, NodeName, PartName } from "@sorreltally/wire"
+
+/** Its owner is the leader. */
+export const DEADLINE = "deadline" as PartName
+export const partAt = (index: number): PartName => `part-${index}` as PartName
+
+export const allParts = (nodes: ReadonlyArray<NodeName>): ReadonlyArray<PartName> => [
+  DEADLINE,
+  ...nodes.map((_, index) => partAt(index)),
+]
+
+/** FNV-1a; any even spread will do, as long as every version of the program agrees on it. */
+const hash = (text: string): number => {
+  let h = 0x811c9dc5
+  for (let i = 0; i < text.length; i++) h = Math.imul(h ^ text.charCodeAt(i), 0x01000193)
+  return h >>> 0
+}
+
+export const partOf = (job: JobId, hasDeadline: boolean, nodes: number): PartName =>
+  hasDeadline ? DEADLINE : partAt(hash(job) % nodes)
+
+/**
+ * Who should own a part, given who is alive: its own node if that lives, else
+ * one picked by the part's name, so that a dead node's parts are spread.
+ */
+export const preferredOwner = (
+  part: PartName,
+  nodes: ReadonlyArray<NodeName>,
+  alive: ReadonlySet<NodeName>,
+): NodeName | null => {
+  const living = nodes.filter((n) => alive.has(n))
+  if (living.length === 0) return null
+  const home = part === DEADLINE ? nodes[0] : nodes[Number(part.slice("part-".length))]
+  if (home !== undefined && alive.has(home)) return home
+  return living[hash(part) % living.length] ?? null
+}
--- /dev/null
+++ b/packages/peers/src/index.ts
@@ -0,0 +1,2 @@
+export * from "./channel.ts"
+export * from "./sockets.ts"
--- /dev/null
+++ b/packages/peers/src/sockets.ts
@@ -0,0 +1,96 @@
+import { createConnection, createServer, type Socket } from "node:net"
+import type { Address, Log, NodeName } from "@sorreltally/wire"
+import type { Links } from "./channel.ts"
+
+const LONGEST_FRAME = 1 << 20
+const MOST_UNSENT = 1 << 20
+const REDIAL_MS = 500
+/** A dialled connection that stays silent this long is dropped: a cut gives no error. */
+const CONNECT_MS = 2_000
+const STALLED_MS = 6_000
+
+const split = (address: Address) => {
+  const at = address.lastIndexOf(":")
+  return { host: address.slice(0, at), port: Number(address.slice(at + 1)) }
+}
+
+/** Length-prefixed frames over TCP; each node dials every other and sends on what it dialled. */
+export const openSockets = (
+  listen: Address,
+  peers: ReadonlyArray<{ readonly node: NodeName; readonly address: Address }>,
+  log: Log,
+): Links => {
+  let deliver: (frame: Uint8Array) => void = () => {}
+
+  const server = createServer((socket) => {
+    socket.setNoDelay(true)
+    let buffered: Buffer = Buffer.alloc(0)
+    socket.on("data", (data: Buffer) => {
+      buffered = buffered.length === 0 ? data : Buffer.concat([buffered, data])
+      while (buffered.length >= 4) {
+        const length = buffered.readUInt32BE(0)
+        if (length > LONGEST_FRAME) {
+          socket.destroy()
+          return
+        }
+        if (buffered.length < 4 + length) break
+        const frame = buffered.subarray(4, 4 + length)
+        buffered = buffered.subarray(4 + length)
+        try {
+          deliver(frame)
+        } catch (cause) {
+          log.error("peer frame can't be read", { cause: String(cause) })
+        }
+      }
+    })
+    socket.on("error", () => socket.destroy())
+  })
+  server.on("error", (cause) => log.error("peer listener", { cause: String(cause) }))
+  const at = split(listen)
+  server.listen(at.port, at.host)
+
+  const out = new Map<NodeName, Socket>()
+  const dial = (node: NodeName, address: Address) => {
+    const { host, port } = split(address)
+    const socket = createConnection({ host, port, noDelay: true })
+    const giveUp = setTimeout(() => socket.destroy(), CONNECT_MS)
+    let drainedAt = performance.now()
+    socket.on("connect", () => {
+      clearTimeout(giveUp)
+      out.set(node, socket)
+    })
+    socket.on("drain", () => {
+      drainedAt = performance.now()
+    })
+    // Unsent bytes that stay unsent mean a cut; a new connection then finds out when it heals.
+    const stalled = setInterval(() => {
+      if (socket.writableLength === 0) drainedAt = performance.now()
+      else if (performance.now() - drainedAt > STALLED_MS) socket.destroy()
+    }, 1_000)
+    socket.on("error", () => {})
+    socket.on("data", () => {})
+    socket.on("close", () => {
+      clearTimeout(giveUp)
+      clearInterval(stalled)
+      if (out.get(node) === socket) out.delete(node)
+      setTimeout(() => dial(node, address), REDIAL_MS)
+    })
+  }
+  for (const peer of peers) dial(peer.node, peer.address)
+
+  return {
+    receive: (handler) => {
+      deliver = handler
+    },
+    send: (to, frame) => {
+      const socket = out.get(to)
+      if (socket === undefined || socket.writableLength > MOST_UNSENT) return
+      const head = Buffer.alloc(4)
+      head.writeUInt32BE(frame.length)
+      socket.cork()
+      socket.write(head)
+      socket.write(frame)
+      socket.uncork()
+    },
+  }
+}
--- /dev/null
+++ b/packages/planner/src/index.ts
@@ -0,0 +1,3 @@
+export * from "./deadline.ts"
+export * from "./model.ts"
+export * from "./plan.ts"
--- /dev/null
+++ b/packages/planner/src/model.ts
@@ -0,0 +1,135 @@
+import type {
+  ImageName,
+  JobId,
+  JobRequest,
+  MachineId,
+  MachineType,
+  TeamName,
+  ZoneName,
+} from "@sorreltally/wire"
+
+export interface Room {
+  readonly cores: number
+  readonly accelerators: number
+  readonly mem_gb: number
+}
+
+/** A machine as the planner sees it; `free` counts every task that isn't surely off it. */
+export interface MachineView {
+  readonly id: MachineId
+  readonly type: MachineType
+  readonly zone: ZoneName
+  readonly spot: boolean
+  readonly free: Room
+  readonly busyTasks: number
+  readonly images: ReadonlySet<ImageName>
+  /** `up`: can take tasks now; `coming`: rented and not yet overdue; `away`: neither. */
+  readonly state: "up" | "coming" | "away"
+  /** The job that it was rented for or given to; null: in the pool. */
+  readonly holder: JobId | null
+}
+
+export interface JobView {
+  readonly id: JobId
+  readonly request: JobRequest
+  readonly rank: number
+  readonly queued: number
+  readonly running: number
+  /** Uncleared tasks by zone. */
+  readonly zones: ReadonlyMap<ZoneName, number>
+  /** Seconds until it is due; null: no deadline. */
+  readonly timeLeftS: number | null
+  readonly ageS: number
+  /** Current estimate of a task's run time. */
+  readonly executionS: number
+  /** Seconds within which a queued task should start, by the aims; null: none stated. */
+  readonly startWithinS: number | null
+  readonly withinGuarantee: boolean
+  readonly mayStart: boolean
+}
+
+/** What a team may still start, in this part. */
+export interface TeamRoom {
+  cores: number
+  accelerators: number
+}
+
+export interface Hireable {
+  readonly type: MachineType
+  readonly zone: ZoneName
+  readonly spot: boolean
+  readonly price: number
+}
+
+export interface Snapshot {
+  readonly jobs: ReadonlyArray<JobView>
+  readonly machines: ReadonlyArray<MachineView>
+  readonly teams: ReadonlyMap<TeamName, TeamRoom>
+  /** Kinds of machine that can be asked for now, those refused lately left out. */
+  readonly market: ReadonlyArray<Hireable>
+  readonly deploymentS: number
+}
+
+export interface PlannedPlacement {
+  readonly job: JobId
+  readonly machine: MachineId
+}
+export interface PlannedHire {
+  readonly hireable: Hireable
+  readonly count: number
+  readonly holder: JobId | null
+}
+export interface Plan {
+  readonly placements: ReadonlyArray<PlannedPlacement>
+  readonly hires: ReadonlyArray<PlannedHire>
+  /** Machines whose holder changes; null: to the pool. */
+  readonly holders: ReadonlyArray<{ readonly machine: MachineId; readonly holder: JobId | null }>
+  /** Queued tasks that neither a machine of ours nor the market has room for: borrow. */
+  readonly short: ReadonlyArray<{ readonly job: JobId; readonly tasks: number }>
+}
+
+export const EPSILON = 1e-6
+export const fits = (request: JobRequest, room: Room): boolean =>
+  request.cores <= room.cores + EPSILON &&
+  request.accelerators <= room.accelerators + EPSILON &&
+  request.mem_gb <= room.mem_gb + EPSILON
+
+export const minus = (room: Room, request: JobRequest, times = 1): Room => ({
+  cores: room.cores - request.cores * times,
+  accelerators: room.accelerators - request.accelerators * times,
+  mem_gb: room.mem_gb - request.mem_gb * times,
+})
+
+/** How many tasks of a job a room holds. */
+export const slotsIn = (request: JobRequest, room: Room): number => {
+  const per = (need: number, has: number) => (need <= 0 ? Number.POSITIVE_INFINITY : (has + EPSILON) / need)
+  const slots = Math.min(
+    per(request.cores, room.cores),
+    per(request.accelerators, room.accelerators),
+    per(request.mem_gb, room.mem_gb),
+  )
+  return Math.max(0, Math.floor(slots))
+}
+
+/** May the job ever run on this kind of machine? */
+export const allowed = (
+  request: JobRequest,
+  kind: { readonly type: MachineType; readonly zone: ZoneName; readonly spot: boolean },
+): boolean =>
+  (!kind.spot || request.loaners) &&
+  (request.builds == null || request.builds.includes(kind.type.name)) &&
+  (request.site == null || request.site === kind.zone) &&
+  fits(request, kind.type)
+
+/** How many more tasks of a job may be put into a zone, given where its others may be. */
+export const zoneAllowance = (
+  request: JobRequest,
+  zones: ReadonlyMap<ZoneName, number>,
+  zone: ZoneName,
+): number => {
+  if (request.together) {
+    for (const [other, count] of zones) if (count > 0 && other !== zone) return 0
+  }
+  if (request.scatter) return Math.ceil(request.pieces / 2) - (zones.get(zone) ?? 0)
+  return Number.POSITIVE_INFINITY
+}
--- /dev/null
+++ b/packages/planner/src/plan.ts
@@ -0,0 +1,224 @@
+import type { JobId, ZoneName } from "@sorreltally/wire"
+import { canGiveBack, extraResources } from "./deadline.ts"
+import {
+  allowed,
+  EPSILON,
+  fits,
+  type Hireable,
+  type JobView,
+  type MachineView,
+  minus,
+  type Plan,
+  type PlannedHire,
+  type PlannedPlacement,
+  type Room,
+  type Snapshot,
+  slotsIn,
+  zoneAllowance,
+} from "./model.ts"
+
+interface Slot {
+  readonly machine: MachineView
+  free: Room
+}
+
+/** Higher priority first, then work within its team's guarantee, then what is due first; work past saving goes last. */
+const inOrder = (jobs: ReadonlyArray<JobView>): ReadonlyArray<JobView> => {
+  const hopeless = (j: JobView) => (j.timeLeftS !== null && j.timeLeftS < j.executionS * 0.3 ? 1 : 0)
+  const due = (j: JobView) => j.timeLeftS ?? (j.startWithinS ?? 600) - j.ageS
+  return [...jobs].sort(
+    (a, b) =>
+      b.rank - a.rank ||
+      hopeless(a) - hopeless(b) ||
+      Number(b.withinGuarantee) - Number(a.withinGuarantee) ||
+      due(a) - due(b) ||
+      (a.id < b.id ? -1 : 1),
+  )
+}
+
+export const plan = (snapshot: Snapshot): Plan => {
+  const jobs = inOrder(snapshot.jobs)
+  const slots: Array<Slot> = snapshot.machines.map((machine) => ({ machine, free: machine.free }))
+  const placements: Array<PlannedPlacement> = []
+  const holders = new Map<string, { readonly machine: MachineView["id"]; readonly holder: JobId | null }>()
+  const queued = new Map<JobId, number>(jobs.map((j) => [j.id, j.queued]))
+  const running = new Map<JobId, number>(jobs.map((j) => [j.id, j.running]))
+
+  for (const job of jobs) {
+    if (!job.mayStart || job.queued === 0) continue
+    placeJob(job, slots, snapshot, placements, queued, running)
+  }
+
+  const coming = slots.filter((s) => s.machine.state === "coming")
+  const market = [...snapshot.market]
+  const hires: Array<PlannedHire> = []
+  const short: Array<{ job: JobId; tasks: number }> = []
+  for (const job of jobs) {
+    const pending = queued.get(job.id) ?? 0
+    const held = slots.filter((s) => s.machine.holder === job.id)
+    if (pending === 0) {
+      releaseOne(job, held, running.get(job.id) ?? 0, holders)
+      continue
+    }
+    let missing = wanted(job, pending, running.get(job.id) ?? 0, coming, snapshot)
+    if (missing === 0) releaseOne(job, held, running.get(job.id) ?? 0, holders, pending)
+    const room = snapshot.teams.get(job.request.owner)
+    if (room !== undefined) {
+      missing = Math.min(missing, Math.floor((room.cores + EPSILON) / job.request.cores))
+    }
+    missing -= hire(job, missing, market, hires, coming)
+    if (missing > 0) short.push({ job: job.id, tasks: missing })
+  }
+  return { placements, hires, holders: [...holders.values()], short }
+}
+
+const placeJob = (
+  job: JobView,
+  slots: ReadonlyArray<Slot>,
+  snapshot: Snapshot,
+  placements: Array<PlannedPlacement>,
+  queued: Map<JobId, number>,
+  running: Map<JobId, number>,
+): void => {
+  const { request } = job
+  const team = snapshot.teams.get(request.owner)
+  if (team === undefined) return
+  const zones = new Map<ZoneName, number>(job.zones)
+  const usable = slots.filter((s) => s.machine.state === "up" && allowed(request, { ...s.machine }))
+  for (let left = job.queued; left > 0; left--) {
+    if (team.cores + EPSILON < request.cores || team.accelerators + EPSILON < request.accelerators) return
+    let best: Slot | null = null
+    let bestScore = Number.NEGATIVE_INFINITY
+    for (const slot of usable) {
+      if (!fits(request, slot.free) || zoneAllowance(request, zones, slot.machine.zone) <= 0) continue
+      const score = suitability(job, slot)
+      if (score > bestScore) {
+        best = slot
+        bestScore = score
+      }
+    }
+    if (best === null) return
+    best.free = minus(best.free, request)
+    team.cores -= request.cores
+    team.accelerators -= request.accelerators
+    zones.set(best.machine.zone, (zones.get(best.machine.zone) ?? 0) + 1)
+    placements.push({ job: job.id, machine: best.machine.id })
+    queued.set(job.id, left - 1)
+    running.set(job.id, (running.get(job.id) ?? 0) + 1)
+  }
+}
+
+/** The image counts most: a fetch is time that the task, and the room it takes, only wait. Then tight packing. */
+const suitability = (job: JobView, { machine, free }: Slot): number => {
+  const fetchS = machine.images.has(job.request.bundle)
+    ? 0
+    : job.request.image_gb / Math.max(EPSILON, machine.type.pull_gb_per_s)
+  const leftover = (free.cores - job.request.cores) / Math.max(EPSILON, machine.type.cores)
+  const mine = machine.holder === job.id ? 1 : 0
+  return -fetchS - 2 * leftover + 0.5 * mine
+}
+
+/** Slots to ask for beyond what runs and what is coming; takes what it counts on from `coming`. */
+const wanted = (
+  job: JobView,
+  pending: number,
+  running: number,
+  coming: ReadonlyArray<Slot>,
+  snapshot: Snapshot,
+): number => {
+  const extra = (requestedResources: number): number =>
+    job.timeLeftS !== null
+      ? extraResources({
+          pendingTasks: pending,
+          resources: running,
+          requestedResources,
+          executionTime: job.executionS,
+          timeLeft: job.timeLeftS,
+          deploymentTime: snapshot.deploymentS,
+        })
+      : baseFleet(job, pending, running, requestedResources)
+  // Machines asked for on this job's behalf come first, then room that others left on theirs.
+  let requested = 0
+  for (const own of [true, false]) {
+    for (const slot of coming) {
+      if ((slot.machine.holder === job.id) !== own || !allowed(job.request, { ...slot.machine })) continue
+      const missing = extra(requested)
+      if (missing === 0) return 0
+      const take = Math.min(missing, slotsIn(job.request, slot.free))
+      slot.free = minus(slot.free, job.request, take)
+      requested += take
+    }
+  }
+  return extra(requested)
+}
+
+/** Without a deadline, enough slots to start the queue in half the time in which the aims want it started. */
+const baseFleet = (job: JobView, pending: number, running: number, requested: number): number => {
+  const horizon = Math.max(0, (job.startWithinS ?? 120) / 2 - job.ageS)
+  const rounds = Math.max(1, Math.floor(horizon / job.executionS) + 1)
+  return Math.max(0, Math.ceil(pending / rounds) - running - requested)
+}
+
+const releaseOne = (
+  job: JobView,
+  held: ReadonlyArray<Slot>,
+  running: number,
+  holders: Map<string, { readonly machine: MachineView["id"]; readonly holder: JobId | null }>,
+  pending = 0,
+): void => {
+  const up = held
+    .filter((s) => s.machine.state === "up")
+    .sort((a, b) => a.machine.busyTasks - b.machine.busyTasks)
+  const slot = up[0]
+  if (slot === undefined) return
+  const free = held.reduce((sum, s) => sum + slotsIn(job.request, s.free), 0)
+  const input = {
+    pendingTasks: pending,
+    resources: running + free,
+    executionTime: job.executionS,
+    timeLeft: job.timeLeftS ?? Number.POSITIVE_INFINITY,
+  }
+  if (pending === 0 || canGiveBack(input, slotsIn(job.request, slot.machine.type))) {
+    holders.set(slot.machine.id, { machine: slot.machine.id, holder: null })
+  }
+}
+
+const hire = (
+  job: JobView,
+  missing: number,
+  market: ReadonlyArray<Hireable>,
+  hires: Array<PlannedHire>,
+  coming: Array<Slot>,
+): number => {
+  let found = 0
+  const byCost = market
+    .filter((h) => allowed(job.request, h) && zoneAllowance(job.request, job.zones, h.zone) > 0)
+    .map((h) => ({ h, cost: h.price / Math.max(1, Math.min(missing, slotsIn(job.request, h.type))) }))
+    .sort((a, b) => Number(b.h.spot) - Number(a.h.spot) || a.cost - b.cost)
+  const pick = byCost[0]
+  if (pick === undefined || missing <= 0) return 0
+  const per = slotsIn(job.request, pick.h.type)
+  const count = Math.ceil(missing / per)
+  hires.push({ hireable: pick.h, count, holder: job.id })
+  found = Math.min(missing, per * count)
+  // What the last machine has to spare is there for the jobs that follow.
+  const spare = per * count - missing
+  if (spare > 0) {
+    const left = minus(pick.h.type, job.request, per - spare)
+    coming.push({
+      machine: {
+        id: "" as MachineView["id"],
+        type: pick.h.type,
+        zone: pick.h.zone,
+        spot: pick.h.spot,
+        free: left,
+        busyTasks: 0,
+        images: new Set(),
+        state: "coming",
+        holder: job.id,
+      },
+      free: left,
+    })
+  }
+  return found
+}
--- /dev/null
+++ b/packages/settings/src/index.ts
@@ -0,0 +1,2 @@
+export * from "./operators.ts"
+export * from "./platform.ts"
--- /dev/null
+++ b/packages/state/src/client.ts
@@ -0,0 +1,253 @@
+import {
+  type Address,
+  Exchange,
+  type GrantId,
+  type NoAnswer,
+  type Reply,
+  type Revision,
+  type Stamp,
+  timekeeper,
+} from "@sorreltally/wire"
+import { Data, Effect } from "effect"
+
+/**
+ * The state service didn't do what was asked. `unknown` means that it may have
+ * been done, or may be done at any later time; otherwise it was not done.
+ */
+export class StateTrouble extends Data.TaggedError("StateTrouble")<{
+  readonly outcome: "refused" | "unknown"
+  readonly status: number
+}> {}
+
+export interface Entry {
+  readonly path: string
+  readonly v: unknown
+  readonly stamp: Stamp
+}
+export interface Condition {
+  readonly path: string
+  readonly stamp: Stamp
+}
+export type Change =
+  | { readonly set: string; readonly v: unknown; readonly permit?: GrantId }
+  | { readonly delete: string }
+export type TxnResult =
+  | { readonly ok: true; readonly epoch: Stamp }
+  | { readonly ok: false; readonly failed: ReadonlyArray<string> }
+export type News =
+  | { readonly kind: "news"; readonly epoch: Revision; readonly changes: ReadonlyArray<NewsItem> }
+  | { readonly kind: "too-old" }
+export type NewsItem = {
+  readonly path: string
+  readonly v: unknown
+  readonly stamp: Stamp
+  readonly gone: boolean
+}
+
+/** What goes first when requests have to queue; see architecture: touches, then users, then placements, then tidying. */
+export type Haste = 0 | 1 | 2 | 3
+
+interface Waiter {
+  readonly haste: Haste
+  readonly cost: number
+  readonly go: () => void
+}
+
+/**
+ * Keeps this node's changes below its part of `write_rps`, most urgent first.
+ * A bucket of one second's worth, as the state service itself keeps.
+ */
+class WritePace {
+  private tokens: number
+  private last: number
+  private readonly waiting: Array<Waiter> = []
+  constructor(
+    private readonly perSecond: number,
+    private readonly burst: number,
+    now: number,
+  ) {
+    this.tokens = burst
+    this.last = now
+  }
+  take(cost: number, haste: Haste): Effect.Effect<void> {
+    return Effect.suspend(() => {
+      const waiter: Waiter = { haste, cost, go: () => {} }
+      const self = this
+      return Effect.flatMap(timekeeper, (time) =>
+        Effect.gen(function* () {
+          self.waiting.push(waiter)
+          self.waiting.sort((a, b) => a.haste - b.haste)
+          for (;;) {
+            self.refill(time.moment())
+            if (self.waiting[0] === waiter && (self.tokens >= cost || self.tokens >= self.burst)) {
+              self.waiting.shift()
+              self.tokens -= cost
+              return
+            }
+            yield* Effect.sleep(Math.max(5, Math.min(200, ((cost - self.tokens) / self.perSecond) * 1000)))
+          }
+        }).pipe(
+          Effect.onInterrupt(() =>
+            Effect.sync(() => {
+              const at = self.waiting.indexOf(waiter)
+              if (at >= 0) self.waiting.splice(at, 1)
+            }),
+          ),
+        ),
+      )
+    })
+  }
+  /** The state service said 429: others use more than we thought. */
+  empty(): void {
+    this.tokens = Math.min(this.tokens, 0)
+  }
+  private refill(now: number): void {
+    const passed = now - this.last
+    this.last = now
+    this.tokens = Math.min(this.burst, this.tokens + (passed / 1000) * this.perSecond)
+  }
+}
+
+export interface StateLimits {
+  readonly write_rps: number
+  readonly value_kb: number
+  readonly txn_ops: number
+}
+
+export interface StateClient {
+  readonly get: (path: string, timeoutMs?: number) => Effect.Effect<Entry | null, StateTrouble>
+  /** Every key under a prefix; the revision is the one the first page was read at. */
+  readonly list: (
+    prefix: string,
+  ) => Effect.Effect<{ readonly items: ReadonlyArray<Entry>; readonly epoch: Revision }, StateTrouble>
+  readonly multi: (
+    when: ReadonlyArray<Condition>,
+    apply: ReadonlyArray<Change>,
+    haste: Haste,
+    timeoutMs?: number,
+  ) => Effect.Effect<TxnResult, StateTrouble>
+  readonly grant: (ttlMs: number) => Effect.Effect<GrantId, StateTrouble>
+  /** False: the grant has ended. */
+  readonly touch: (grant: GrantId, timeoutMs: number) => Effect.Effect<boolean, StateTrouble>
+  readonly revoke: (grant: GrantId) => Effect.Effect<void, StateTrouble>
+  readonly watch: (prefix: string, after: Revision, blockMs: number) => Effect.Effect<News, StateTrouble>
+  readonly limits: StateLimits
+}
+
+const trouble = (reply: Reply) => new StateTrouble({ outcome: "refused", status: reply.status })
+const silence = (_: NoAnswer) => new StateTrouble({ outcome: "unknown", status: 0 })
+
+const REQUEST_TIMEOUT_MS = 1_500
+
+export const makeStateClient = (
+  address: Address,
+  limits: StateLimits,
+  nodes: number,
+): Effect.Effect<StateClient, never, Exchange> =>
+  Effect.gen(function* () {
+    const exchange = yield* Exchange
+    const time = yield* timekeeper
+    // Load is uneven: the owner of the busiest part writes most. Each node may
+    // take up to this much by itself; a 429 corrects the rest.
+    const share = Math.min(1, 1.5 / nodes) * limits.write_rps * 0.9
+    const pace = new WritePace(share, Math.max(limits.txn_ops, share), time.moment())
+
+    const call = (
+      method: "GET" | "POST" | "DELETE",
+      path: string,
+      body?: unknown,
+      timeoutMs = REQUEST_TIMEOUT_MS,
+    ) => exchange.call({ address, method, path, body, timeoutMs }).pipe(Effect.mapError(silence))
+
+    const get: StateClient["get"] = (path, timeoutMs) =>
+      Effect.flatMap(call("GET", `/kv/${path}`, undefined, timeoutMs), (reply) =>
+        reply.status === 200
+          ? Effect.succeed(reply.body as Entry)
+          : reply.status === 404
+            ? Effect.succeed(null)
+            : Effect.fail(trouble(reply)),
+      )
+
+    const list: StateClient["list"] = (prefix) =>
+      Effect.gen(function* () {
+        const items: Array<Entry> = []
+        let epoch: Revision | null = null
+        let after = ""
+        for (;;) {
+          const from = after === "" ? "" : `&after=${encodeURIComponent(after)}`
+          const reply = yield* call(
+            "GET",
+            `/kv?starts=${encodeURIComponent(prefix)}${from}&page=1000`,
+            undefined,
+            5_000,
+          )
+          if (reply.status !== 200) return yield* Effect.fail(trouble(reply))
+          const page = reply.body as { items: Array<Entry>; more: boolean; epoch: Revision }
+          items.push(...page.items)
+          epoch ??= page.epoch
+          const last = page.items.at(-1)
+          if (!page.more || last === undefined) return { items, epoch }
+          after = last.path
+        }
+      })
+
+    const multi: StateClient["multi"] = (when, apply, haste, timeoutMs) =>
+      Effect.gen(function* () {
+        if (apply.length > 0) yield* pace.take(apply.length, haste)
+        const reply = yield* call("POST", "/multi", { when, apply }, timeoutMs)
+        if (reply.status === 200) return { ok: true, epoch: (reply.body as { epoch: Stamp }).epoch } as const
+        if (reply.status === 409)
+          return { ok: false, failed: (reply.body as { failed: Array<string> }).failed } as const
+        if (reply.status === 429) pace.empty()
+        return yield* Effect.fail(trouble(reply))
+      })
+
+    return {
+      get,
+      list,
+      multi,
+      limits,
+      grant: (ttlMs) =>
+        Effect.flatMap(call("POST", "/grants", { ttl_ms: ttlMs }), (reply) =>
+          reply.status === 200
+            ? Effect.succeed((reply.body as { permit: GrantId }).permit)
+            : Effect.fail(trouble(reply)),
+        ),
+      touch: (grant, timeoutMs) =>
+        Effect.flatMap(call("POST", `/grants/${grant}/touch`, {}, timeoutMs), (reply) =>
+          reply.status === 200
+            ? Effect.succeed(true)
+            : reply.status === 404
+              ? Effect.succeed(false)
+              : Effect.fail(trouble(reply)),
+        ),
+      revoke: (grant) =>
+        Effect.flatMap(call("DELETE", `/grants/${grant}`), (reply) =>
+          reply.status === 200 || reply.status === 404 ? Effect.void : Effect.fail(trouble(reply)),
+        ),
+      watch: (prefix, after, blockMs) =>
+        Effect.flatMap(
+          call(
+            "GET",
+            `/watch?starts=${encodeURIComponent(prefix)}&after=${after}&block_ms=${blockMs}`,
+            undefined,
+            blockMs + 2_000,
+          ),
+          (reply): Effect.Effect<News, StateTrouble> => {
+            if (reply.status === 410) return Effect.succeed({ kind: "too-old" })
+            if (reply.status !== 200) return Effect.fail(trouble(reply))
+            const body = reply.body as { epoch: Revision; news: ReadonlyArray<Record<string, unknown>> }
+            const changes = body.news.map((n): NewsItem => {
+              const gone = typeof n["delete"] === "string"
+              return {
+                path: (gone ? n["delete"] : n["set"]) as string,
+                v: n["v"],
+                stamp: n["stamp"] as Stamp,
+                gone,
+              }
+            })
+            return Effect.succeed({ kind: "news", epoch: body.epoch, changes })
+          },
+        ),
+    }
+  })
--- /dev/null
+++ b/packages/state/src/index.ts
@@ -0,0 +1,2 @@
+export * from "./client.ts"
+export * from "./records.ts"
--- /dev/null
+++ b/packages/wire/src/index.ts
@@ -0,0 +1,7 @@
+export * from "./cloud.ts"
+export * from "./exchange.ts"
+export * from "./ids.ts"
+export * from "./jobs.ts"
+export * from "./log.ts"
+export * from "./times.ts"
+export * from "./workers.ts"
--- /dev/null
+++ b/packages/workers/src/index.ts
@@ -0,0 +1,1 @@
+export * from "./session.ts"
--- /dev/null
+++ b/scripts/build.mjs
@@ -0,0 +1,34 @@
+// Bundles the daemon (and, with --tests, the tests) into target/. One file per
+// program: a controller starts on a third of a core, where reading hundreds of
+// small modules is the larger part of start-up.
+import { readdirSync } from "node:fs"
+import { build } from "esbuild"
+
+const root = new URL("..", import.meta.url).pathname
+const common = {
+  absWorkingDir: root,
+  bundle: true,
+  platform: "node",
+  target: "node20",
+  format: "esm",
+  minifySyntax: true,
+  legalComments: "none",
+  logLevel: "warning",
+  // Bundled CommonJS dependencies call require() for Node's own modules.
+  banner: {
+    js: 'import { createRequire as __cr } from "node:module"; const require = __cr(import.meta.url);',
+  },
+}
+await build({ ...common, entryPoints: ["packages/daemon/src/main.ts"], outfile: "target/main.js" })
+if (process.argv.includes("--tests")) {
+  const tests = readdirSync(`${root}packages`).flatMap((p) => {
+    try {
+      return readdirSync(`${root}packages/${p}/test`)
+        .filter((f) => f.endsWith(".test.ts"))
+        .map((f) => ({ in: `packages/${p}/test/${f}`, out: `${p}-${f.replace(/\.ts$/, "")}` }))
+    } catch {
+      return []
+    }
+  })
+  await build({ ...common, entryPoints: tests, outdir: "target/tests" })
+}
