--- a/packages/cloud/src/index.ts
+++ b/packages/cloud/src/index.ts
@@ -37,19 +37,37 @@
 const TIMEOUT_MS = 3_000
 const PAGE = 500
 
+/** What goes first when calls have to queue: giving back, then renting, then looking. */
+type Haste = 0 | 1 | 2
+
 /** Calls are spaced so that all nodes together stay below the cloud's rate. */
 class Pace {
   private free = 0
+  private readonly waiting: Array<{ readonly haste: Haste }> = []
   constructor(private readonly spacingMs: number) {}
-  readonly take: Effect.Effect<void> = Effect.flatMap(timekeeper, (time) =>
-    Effect.suspend(() => {
-      const now = time.moment()
-      // Two calls may go back to back; more are spaced.
-      const earliest = Math.max(this.free, now - this.spacingMs)
-      this.free = earliest + this.spacingMs
-      return earliest > now ? Effect.sleep(earliest - now) : Effect.void
-    }),
-  )
+  take(haste: Haste): Effect.Effect<void> {
+    return Effect.flatMap(timekeeper, (time) =>
+      Effect.suspend(() => {
+        const turn = { haste }
+        this.waiting.push(turn)
+        this.waiting.sort((a, b) => a.haste - b.haste)
+        const leave = Effect.sync(() => {
+          this.waiting.splice(this.waiting.indexOf(turn), 1)
+        })
+        const step: Effect.Effect<void> = Effect.suspend(() => {
+          const now = time.moment()
+          // Two calls may go back to back; more are spaced.
+          const earliest = Math.max(this.free, now - this.spacingMs)
+          if (this.waiting[0] !== turn || earliest > now) {
+            return Effect.andThen(Effect.sleep(Math.max(20, Math.min(this.spacingMs, earliest - now))), step)
+          }
+          this.free = earliest + this.spacingMs
+          return Effect.void
+        })
+        return Effect.ensuring(step, leave)
+      }),
+    )
+  }
 }
 
 export const makeCloudClient = (
@@ -59,10 +77,13 @@
 ): Effect.Effect<CloudClient, never, Exchange> =>
   Effect.gen(function* () {
     const exchange = yield* Exchange
-    const pace = new Pace((1000 * nodes) / (limits.rps * 0.9))
-    const call = (method: "GET" | "POST", path: string, body?: unknown) =>
+    // The nodes' needs are uneven, the owner of the busiest part calls most; a
+    // 429 is retried like any other refusal.
+    const share = Math.min(1, 1.5 / nodes) * limits.rps * 0.9
+    const pace = new Pace(1000 / share)
+    const call = (haste: Haste, method: "GET" | "POST", path: string, body?: unknown) =>
       Effect.andThen(
-        pace.take,
+        pace.take(haste),
         exchange
           .call({ address, method, path, body, timeoutMs: TIMEOUT_MS })
           .pipe(Effect.mapError(() => new CloudTrouble({ outcome: "unknown", status: 0 }))),
@@ -70,7 +91,7 @@
     const refuse = (status: number) => Effect.fail(new CloudTrouble({ outcome: "refused", status }))
 
     return {
-      catalog: Effect.flatMap(call("GET", "/catalog"), (reply) => {
+      catalog: Effect.flatMap(call(2, "GET", "/catalog"), (reply) => {
         const decoded = decodeCatalog(reply.body)
         return reply.status === 200 && Result.isSuccess(decoded)
           ? Effect.succeed(decoded.success.builds)
@@ -78,7 +99,7 @@
       }),
       hire: (request) =>
         Effect.flatMap(
-          call("POST", "/machines", request),
+          call(1, "POST", "/machines", request),
           (reply): Effect.Effect<HireOutcome, CloudTrouble> => {
             const decoded = decodeHire(reply.body)
             if (reply.status === 200 && Result.isSuccess(decoded)) {
@@ -91,14 +112,14 @@
           },
         ),
       remove: (machines) =>
-        Effect.flatMap(call("POST", "/machines/delete", { hosts: machines }), (reply) =>
+        Effect.flatMap(call(0, "POST", "/machines/delete", { hosts: machines }), (reply) =>
           reply.status === 200 ? Effect.void : refuse(reply.status),
         ),
       list: Effect.gen(function* () {
         const all: Array<ListedMachine> = []
         let after = ""
         for (;;) {
-          const reply = yield* call("GET", `/machines?after=${after}&page=${PAGE}`)
+          const reply = yield* call(2, "GET", `/machines?after=${after}&page=${PAGE}`)
           const decoded = decodePage(reply.body)
           if (reply.status !== 200 || !Result.isSuccess(decoded)) return yield* refuse(reply.status)
           all.push(...decoded.success.hosts)
--- a/packages/controller/src/engine.ts
+++ b/packages/controller/src/engine.ts
@@ -810,7 +810,7 @@
   // --- machines -------------------------------------------------------------
 
   private hire(wanted: PlannedHire): void {
-    const most = this.ctx.platform.facts.state.txn_ops
+    const most = this.ctx.platform.facts.state.txn_ops - 1
     const hire: PlannedHire = { ...wanted, count: Math.min(wanted.count, most) }
     const name = this.ctx.nextHire()
     this.hiring.set(name, hire)
@@ -836,7 +836,9 @@
         const outcome = answer.success
         const got = outcome.kind === "rented" ? outcome.machines : []
         if (got.length < count) this.ctx.fleet.refuse(type.name, zone, spot)
-        this.ctx.log.info("hired", {
+        else this.ctx.fleet.granted(type.name, zone, spot)
+        const note = got.length > 0 ? this.ctx.log.info : this.ctx.log.debug
+        note("hired", {
           name,
           type: type.name,
           zone,
@@ -854,7 +856,6 @@
           rented: rentedAt,
         }
         if (got.length > 0) yield* this.recordMachines(got, record)
-        this.planSignal.notify()
         return
       }
     })
--- a/packages/controller/src/fleet.ts
+++ b/packages/controller/src/fleet.ts
@@ -14,6 +14,9 @@
 } from "@sorreltally/wire"
 import { Effect, Result } from "effect"
 
+/** A refused kind is left alone for at most this many times the refusal memory. */
+const MOST_PATIENCE = 4
+const kindOf = (type: TypeName, zone: ZoneName, spot: boolean) => `${type}|${zone}|${spot}`
 const CATALOG_EVERY_MS = 30_000
 
 /**
@@ -23,7 +26,8 @@
 export class Fleet {
   private types = new Map<TypeName, MachineType>()
   private catalogAt: Moment = NEVER
-  private readonly refused = new Map<string, Moment>()
+  private readonly refused = new Map<string, { readonly until: Moment; readonly times: number }>()
+  private readonly asked = new Set<string>()
   listed = new Map<MachineId, ListedMachine>()
   readonly everListed = new Set<MachineId>()
   /** When the last list was asked for. */
@@ -52,23 +56,36 @@
     this.types = new Map(builds.map((t) => [t.name, t]))
   }
 
+  /** A kind refused again and again is asked for ever less often. */
   refuse(type: TypeName, zone: ZoneName, spot: boolean): void {
-    this.refused.set(`${type}|${zone}|${spot}`, later(this.now(), this.refusalMemoryS * 1000))
+    const kind = kindOf(type, zone, spot)
+    const times = (this.refused.get(kind)?.times ?? 0) + 1
+    const pauseS = this.refusalMemoryS * Math.min(MOST_PATIENCE, 1.5 ** (times - 1))
+    this.refused.set(kind, { until: later(this.now(), pauseS * 1000), times })
   }
-  /**
-   * Spot while it is cheaper than ordinary machines; those only where spot of
-   * the same type and zone was refused.
-   */
+  granted(type: TypeName, zone: ZoneName, spot: boolean): void {
+    this.refused.delete(kindOf(type, zone, spot))
+  }
+  asking(type: TypeName, zone: ZoneName, spot: boolean, now: boolean): void {
+    if (now) this.asked.add(kindOf(type, zone, spot))
+    else this.asked.delete(kindOf(type, zone, spot))
+  }
+
+  /** Spot counts while it is cheaper than ordinary machines. Kinds refused lately are left out. */
   market(): ReadonlyArray<Hireable> {
     const now = this.now()
-    const open = (type: MachineType, zone: ZoneName, spot: boolean) =>
-      now >= (this.refused.get(`${type.name}|${zone}|${spot}`) ?? NEVER)
+    const ours = new Map<ZoneName, number>()
+    for (const m of this.listed.values()) ours.set(m.site, (ours.get(m.site) ?? 0) + 1)
     const out: Array<Hireable> = []
     for (const type of this.types.values()) {
       for (const zone of type.sites) {
-        const cheaper = type.spot_price < type.hourly
-        if (cheaper && open(type, zone, true)) out.push({ type, zone, spot: true, price: type.spot_price })
-        if (open(type, zone, false)) out.push({ type, zone, spot: false, price: type.hourly })
+        for (const spot of [true, false]) {
+          const kind = kindOf(type.name, zone, spot)
+          if (spot && type.spot_price >= type.hourly) continue
+          if (now < (this.refused.get(kind)?.until ?? NEVER)) continue
+          const price = spot ? type.spot_price : type.hourly
+          out.push({ type, zone, spot, price, asked: this.asked.has(kind), ours: ours.get(zone) ?? 0 })
+        }
       }
     }
     return out
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -13,7 +13,7 @@
 } from "@sorreltally/wire"
 import { Effect, Random, Result } from "effect"
 import { Mirror } from "./mirror.ts"
-import { allParts, preferredOwner } from "./parts.ts"
+import { allParts, homeOf, preferredOwner } from "./parts.ts"
 
 export interface MembershipSettings {
   readonly self: NodeName
@@ -33,7 +33,10 @@
 /** The watch is how an owner learns of cancellations: an owner that hasn't been told anything this long stops acting. */
 const WATCH_FRESH_MS = 3 * WATCH_BLOCK_MS
 
-interface Membership0 {
+/** How long a part that never had an owner waits for the node it is meant for. */
+const FIRST_START_MS = 4_000
+
+interface Standing {
   readonly incarnation: Incarnation
   readonly grant: GrantId
   readonly liveStamp: Stamp
@@ -47,7 +50,7 @@
 export class Membership {
   readonly mirror = new Mirror()
   readonly parts: ReadonlyArray<PartName>
-  private current: Membership0 | null = null
+  private current: Standing | null = null
   private grantUntil: Moment = NEVER
   private freshUntil: Moment = NEVER
   private readonly owned = new Map<PartName, Stamp>()
@@ -220,9 +223,12 @@
     const now = this.now()
     const since = this.orphanSince.get(part) ?? now
     this.orphanSince.set(part, since)
-    // Others wait a little, so that the preferred owner usually meets no rival.
-    const patience =
-      preferredOwner(part, nodes, this.alive()) === self ? 0 : 1_500 + 500 * nodes.indexOf(self)
+    // Others wait a little, so that the preferred owner usually meets no rival;
+    // a part that nobody ever owned waits for its home to start.
+    const home = homeOf(part, nodes)
+    const preferred = preferredOwner(part, nodes, this.alive()) === self
+    const unborn = this.mirror.get(keys.part(part)) === null && home !== self
+    const patience = unborn ? FIRST_START_MS : preferred ? 0 : 1_500 + 500 * nodes.indexOf(self)
     return now - since >= patience
   }
 
--- a/packages/membership/src/parts.ts
+++ b/packages/membership/src/parts.ts
@@ -19,6 +19,10 @@
 export const partOf = (job: JobId, hasDeadline: boolean, nodes: number): PartName =>
   hasDeadline ? DEADLINE : partAt(hash(job) % nodes)
 
+/** The node that a part is meant for while all are alive. */
+export const homeOf = (part: PartName, nodes: ReadonlyArray<NodeName>): NodeName | null =>
+  (part === DEADLINE ? nodes[0] : nodes[Number(part.slice("part-".length))]) ?? null
+
 /**
  * Who should own a part, given who is alive: its own node if that lives, else
  * one picked by the part's name, so that a dead node's parts are spread.
@@ -30,7 +34,7 @@
 ): NodeName | null => {
   const living = nodes.filter((n) => alive.has(n))
   if (living.length === 0) return null
-  const home = part === DEADLINE ? nodes[0] : nodes[Number(part.slice("part-".length))]
-  if (home !== undefined && alive.has(home)) return home
+  const home = homeOf(part, nodes)
+  if (home !== null && alive.has(home)) return home
   return living[hash(part) % living.length] ?? null
 }
--- a/packages/planner/src/model.ts
+++ b/packages/planner/src/model.ts
@@ -59,6 +59,10 @@
   readonly zone: ZoneName
   readonly spot: boolean
   readonly price: number
+  /** A request for this kind is under way: its answer is awaited before asking for more, or for dearer ones. */
+  readonly asked: boolean
+  /** Machines of ours in this zone; room is spread, so that one zone going dark leaves the others. */
+  readonly ours: number
 }
 
 export interface Snapshot {
--- a/packages/planner/src/plan.ts
+++ b/packages/planner/src/plan.ts
@@ -17,6 +17,9 @@
   zoneAllowance,
 } from "./model.ts"
 
+/** Above any price: steady machines are the fall-back once every fitting kind of spot is refused. */
+const STEADY_LAST = 1e6
+
 interface Slot {
   readonly machine: MachineView
   free: Room
@@ -50,8 +53,7 @@
   }
 
   const coming = slots.filter((s) => s.machine.state === "coming")
-  const market = [...snapshot.market]
-  const hires: Array<PlannedHire> = []
+  const hires = new Map<Hireable, { count: number; readonly holder: JobId }>()
   const short: Array<{ job: JobId; tasks: number }> = []
   for (const job of jobs) {
     const pending = queued.get(job.id) ?? 0
@@ -66,10 +68,15 @@
     if (room !== undefined) {
       missing = Math.min(missing, Math.floor((room.cores + EPSILON) / job.request.cores))
     }
-    missing -= hire(job, missing, market, hires, coming)
+    missing -= hire(job, missing, snapshot.market, hires, coming)
     if (missing > 0) short.push({ job: job.id, tasks: missing })
   }
-  return { placements, hires, holders: [...holders.values()], short }
+  return {
+    placements,
+    hires: [...hires].map(([hireable, { count, holder }]): PlannedHire => ({ hireable, count, holder })),
+    holders: [...holders.values()],
+    short,
+  }
 }
 
 const placeJob = (
@@ -183,42 +190,53 @@
   }
 }
 
+/** Asks for the cheapest kind that fits: spot before steady, the zone with fewer of our machines before others. */
 const hire = (
   job: JobView,
   missing: number,
   market: ReadonlyArray<Hireable>,
-  hires: Array<PlannedHire>,
+  hires: Map<Hireable, { count: number; readonly holder: JobId }>,
   coming: Array<Slot>,
 ): number => {
-  let found = 0
-  const byCost = market
-    .filter((h) => allowed(job.request, h) && zoneAllowance(job.request, job.zones, h.zone) > 0)
-    .map((h) => ({ h, cost: h.price / Math.max(1, Math.min(missing, slotsIn(job.request, h.type))) }))
-    .sort((a, b) => Number(b.h.spot) - Number(a.h.spot) || a.cost - b.cost)
-  const pick = byCost[0]
-  if (pick === undefined || missing <= 0) return 0
-  const per = slotsIn(job.request, pick.h.type)
+  if (missing <= 0) return 0
+  let pick: Hireable | null = null
+  let pickCost = Number.POSITIVE_INFINITY
+  for (const option of market) {
+    if (!allowed(job.request, option) || zoneAllowance(job.request, job.zones, option.zone) <= 0) continue
+    const slots = Math.max(1, Math.min(missing, slotsIn(job.request, option.type)))
+    const cost = option.price / slots + (option.spot ? 0 : STEADY_LAST)
+    const closer = pick !== null && Math.abs(cost - pickCost) < EPSILON && option.ours < pick.ours
+    if (cost < pickCost - EPSILON || closer) {
+      pick = option
+      pickCost = cost
+    }
+  }
+  if (pick === null) return 0
+  if (pick.asked) return missing
+  const per = slotsIn(job.request, pick.type)
   const count = Math.ceil(missing / per)
-  hires.push({ hireable: pick.h, count, holder: job.id })
-  found = Math.min(missing, per * count)
+  const asked = hires.get(pick)
+  if (asked === undefined) hires.set(pick, { count, holder: job.id })
+  else asked.count += count
   // What the last machine has to spare is there for the jobs that follow.
   const spare = per * count - missing
   if (spare > 0) {
-    const left = minus(pick.h.type, job.request, per - spare)
+    const free = minus(pick.type, job.request, per - spare)
+    const { type, zone, spot } = pick
     coming.push({
       machine: {
         id: "" as MachineView["id"],
-        type: pick.h.type,
-        zone: pick.h.zone,
-        spot: pick.h.spot,
-        free: left,
+        type,
+        zone,
+        spot,
+        free,
         busyTasks: 0,
         images: new Set(),
         state: "coming",
         holder: job.id,
       },
-      free: left,
+      free,
     })
   }
-  return found
+  return missing
 }
