--- a/packages/controller/src/controller.ts
+++ b/packages/controller/src/controller.ts
@@ -1,8 +1,9 @@
 import type { CloudClient } from "@sorreltally/cloud"
 import { DEADLINE, Membership, type PartKeeper, partOf } from "@sorreltally/membership"
 import type { PeerChannel } from "@sorreltally/peers"
+import type { Need } from "@sorreltally/planner"
 import type { Operators, Platform } from "@sorreltally/settings"
-import { type JobRecord, keys, type MachineRecord, type StateClient } from "@sorreltally/state"
+import { type Entry, type JobRecord, keys, type MachineRecord, type StateClient } from "@sorreltally/state"
 import {
   decodeReport,
   Exchange,
@@ -23,6 +24,7 @@
   type TypeName,
   timekeeper,
 } from "@sorreltally/wire"
+import type { Introduction } from "@sorreltally/workers"
 import { Cause, Effect, Fiber, Result } from "effect"
 import { type EngineContext, PartEngine } from "./engine.ts"
 import { Estimates } from "./estimates.ts"
@@ -34,6 +36,10 @@
 const BACK_SOON_MS = 20_000
 const RELAY_FOR_MS = 30_000
 const COUNTS_TIMEOUT_MS = 300
+const NEEDS_EVERY_MS = 120
+const NEEDS_LAST_MS = 3_500
+
+const machineOf = (entry: Entry): MachineId => entry.path.slice("s/machine/".length) as MachineId
 
 /** One controller: its parts' engines, and what they share. */
 export class Controller {
@@ -46,6 +52,8 @@
   private readonly sentAway = new Map<MachineId, Moment>()
   private readonly relayUntil = new Map<MachineId, Moment>()
   private readonly estimates = new Estimates()
+  private readonly needs = new Map<PartName, { readonly needs: ReadonlyArray<Need>; readonly at: Moment }>()
+  private needsChanged = false
   private hires = 0
 
   constructor(
@@ -90,7 +98,12 @@
 
   readonly run: Effect.Effect<void> = Effect.suspend(() =>
     Effect.all(
-      [this.membership.run, this.fleet.run, this.peers.serve((kind, body) => this.answerPeer(kind, body))],
+      [
+        this.membership.run,
+        this.fleet.run,
+        this.tellNeeds(),
+        this.peers.serve((kind, body) => this.answerPeer(kind, body)),
+      ],
       { concurrency: "unbounded", discard: true },
     ),
   )
@@ -108,6 +121,9 @@
       estimates: this.estimates,
       time: this.time,
       log: this.log,
+      needs: (except) => this.needsOf(except),
+      publish: (of, needs) => this.publish(of, needs),
+      introduce: (to, entry, by) => this.introduce(to, entry, by),
       nextHire: () =>
         `${this.membership.incarnation() ?? this.platform.node_name}-${++this.hires}` as HireName,
       fork: this.fork,
@@ -134,6 +150,48 @@
     this.fork(Fiber.interrupt(held.fiber))
   }
 
+  // --- between the parts ------------------------------------------------------
+
+  private needsOf(except: PartName): ReadonlyArray<Need> {
+    const oldest = later(this.time.moment(), -NEEDS_LAST_MS)
+    const all: Array<Need> = []
+    for (const [part, told] of this.needs) if (part !== except && told.at > oldest) all.push(...told.needs)
+    return all
+  }
+  private publish(part: PartName, needs: ReadonlyArray<Need>): void {
+    const before = this.needs.get(part)
+    const changed = JSON.stringify(before?.needs ?? []) !== JSON.stringify(needs)
+    this.needs.set(part, { needs, at: this.time.moment() })
+    if (!changed) return
+    this.needsChanged = true
+    for (const [other, { engine }] of this.engines) if (other !== part) engine.wake()
+  }
+  private tellNeeds() {
+    return Effect.gen({ self: this }, function* () {
+      for (let round = 0; ; round++) {
+        yield* Effect.sleep(NEEDS_EVERY_MS)
+        if (!this.needsChanged && round % 8 !== 0) continue
+        this.needsChanged = false
+        const own = [...this.engines.keys()].map((part) => ({
+          part,
+          needs: this.needs.get(part)?.needs ?? [],
+        }))
+        if (own.length === 0) continue
+        for (const node of this.peers.nodes)
+          this.fork(Effect.ignore(this.peers.ask(node, "needs", own, 1_000)))
+      }
+    })
+  }
+  private introduce(part: PartName, entry: Entry, by: Introduction | null): void {
+    const own = this.engines.get(part)
+    if (own !== undefined) {
+      if (by !== null) own.engine.introduced(machineOf(entry), by)
+      return
+    }
+    const owner = this.membership.owner(part)
+    if (owner !== null) this.fork(Effect.ignore(this.peers.ask(owner, "machine", { part, entry, by }, 1_000)))
+  }
+
   // --- workers --------------------------------------------------------------
 
   report(body: Report): Effect.Effect<Outgoing> {
@@ -181,6 +239,20 @@
       this.membership.mirror.hint(entry)
       return Effect.succeed(true)
     }
+    if (kind === "needs") {
+      const told = body as ReadonlyArray<{ part: PartName; needs: ReadonlyArray<Need> }>
+      for (const { part, needs } of told) {
+        if (!this.engines.has(part)) this.needs.set(part, { needs, at: this.time.moment() })
+      }
+      for (const { engine } of this.engines.values()) engine.wake()
+      return Effect.succeed(true)
+    }
+    if (kind === "machine") {
+      const { part, entry, by } = body as { part: PartName; entry: Entry; by: Introduction | null }
+      this.membership.mirror.hint(entry)
+      if (by !== null) this.engines.get(part)?.engine.introduced(machineOf(entry), by)
+      return Effect.succeed(true)
+    }
     if (kind === "counts") return Effect.succeed(this.ownCounts(body as JobId))
     return Effect.succeed(null)
   }
--- a/packages/controller/src/engine.ts
+++ b/packages/controller/src/engine.ts
@@ -2,13 +2,20 @@
 import { JobState, type Placement } from "@sorreltally/jobs"
 import { DEADLINE, type Membership, partOf } from "@sorreltally/membership"
 import {
+  allowed,
+  choosePreemptions,
   type JobView,
+  lend,
   type MachineView,
+  minus,
+  type Need,
   type Plan,
   type PlannedHire,
   plan,
+  shapeOf,
   slotsIn,
   type TeamRoom,
+  type Victim,
 } from "@sorreltally/planner"
 import type { Operators, Platform } from "@sorreltally/settings"
 import {
@@ -46,7 +53,7 @@
   urgencyRank,
   type ZoneName,
 } from "@sorreltally/wire"
-import { type Outcome, WorkerSession } from "@sorreltally/workers"
+import { type Introduction, type Outcome, WorkerSession } from "@sorreltally/workers"
 import { Effect, Result } from "effect"
 import type { Estimates } from "./estimates.ts"
 import type { Fleet } from "./fleet.ts"
@@ -66,6 +73,11 @@
   readonly time: Timekeeper
   readonly log: Log
   readonly nextHire: () => HireName
+  /** What other parts lack, as far as we have heard. */
+  readonly needs: (except: PartName) => ReadonlyArray<Need>
+  readonly publish: (part: PartName, needs: ReadonlyArray<Need>) => void
+  /** Tells a machine's new owner of it before the watch does. */
+  readonly introduce: (to: PartName, entry: Entry, by: Introduction | null) => void
   /** Runs an effect beside the engine's loops, for as long as the engine lives. */
   readonly fork: (effect: Effect.Effect<unknown>) => void
 }
@@ -80,6 +92,8 @@
 const NEVER_BOOTED = 4
 /** Times `startup_s` after which a boot no longer counts as coming: the design's weak spot, see docs/design.md. */
 const OVERDUE_BOOT = 1.6
+/** Needs told to the other parts: the most urgent ones. */
+const NEEDS_TOLD = 4
 const ATTEMPTS_PER_EPOCH = 2 ** 20
 /** A listed machine that no record knows may still be another node's rental under way. */
 const ADOPT_AFTER_S = 10
@@ -89,6 +103,8 @@
   /** When it was rented, by our clock. */
   readonly rentedAt: Moment
   returning: boolean
+  /** On its way to another part. */
+  moving: boolean
 }
 
 /**
@@ -137,6 +153,9 @@
     this.ready = false
     this.deaf()
   }
+  wake(): void {
+    this.planSignal.notify()
+  }
   private get active(): boolean {
     return !this.over && this.ctx.membership.entitled()
   }
@@ -298,6 +317,7 @@
       holder: this.holderOf.get(id) ?? null,
       rentedAt: later(now, -age),
       returning: false,
+      moving: false,
     })
     this.holderOf.delete(id)
     this.planSignal.notify()
@@ -343,20 +363,25 @@
   private fence(session: WorkerSession): void {
     if (this.fencing.has(session.id)) return
     this.fencing.add(session.id)
-    const path = keys.machine(session.id)
-    const when = [this.partCondition(), { path, stamp: session.recordStamp }]
-    this.ctx.fork(
-      Effect.gen({ self: this }, function* () {
-        const done = yield* Effect.result(this.ctx.state.multi(when, [{ set: path, v: session.record }], 2))
-        if (Result.isSuccess(done) && done.success.ok) {
-          this.ctx.membership.mirror.hint({ path, v: session.record, stamp: done.success.epoch })
-        } else {
-          const read = yield* Effect.result(this.ctx.state.get(path))
-          if (Result.isSuccess(read) && read.success !== null) this.ctx.membership.mirror.hint(read.success)
-          yield* Effect.sleep(300)
-        }
-      }).pipe(Effect.ensuring(Effect.sync(() => this.fencing.delete(session.id)))),
-    )
+    const released = Effect.sync(() => this.fencing.delete(session.id))
+    this.ctx.fork(Effect.ensuring(this.refence(session), released))
+  }
+
+  /** Writes the machine's record once more: its stamp, and so the machine's token, rises. */
+  private refence(session: WorkerSession) {
+    return Effect.gen({ self: this }, function* () {
+      const path = keys.machine(session.id)
+      const { mirror } = this.ctx.membership
+      const when = [this.partCondition(), { path, stamp: session.recordStamp }]
+      const done = yield* Effect.result(this.ctx.state.multi(when, [{ set: path, v: session.record }], 2))
+      if (Result.isSuccess(done) && done.success.ok) {
+        mirror.hint({ path, v: session.record, stamp: done.success.epoch })
+        return
+      }
+      const read = yield* Effect.result(this.ctx.state.get(path))
+      if (Result.isSuccess(read) && read.success !== null) mirror.hint(read.success)
+      yield* Effect.sleep(300)
+    })
   }
 
   private apply(session: WorkerSession, outcomes: ReadonlyArray<Outcome>): void {
@@ -649,14 +674,161 @@
       const share = this.shares.share(team)
       teams.set(team, { cores: share.cpus - u.cores, accelerators: share.gpus - u.accelerators })
     }
+    const jobs = this.jobViews(now)
+    const needs = this.ctx.needs(this.part)
+    const share = this.shareOfFleet()
+    for (const { machine, to } of lend(this.machineViews(now), jobs, needs, share))
+      this.lendMachine(machine, to)
     const decided = plan({
-      jobs: this.jobViews(now),
+      jobs,
       machines: this.machineViews(now),
       teams,
       market: this.ctx.fleet.market(),
       deploymentS: this.ctx.operators.provisioning["deployment-s"],
     })
     this.carryOut(decided, now)
+    this.preempt(decided, needs, share, now)
+    this.ctx.publish(
+      this.part,
+      decided.unplaced.slice(0, NEEDS_TOLD).map(({ job, tasks, pressing }) => ({
+        part: this.part,
+        shape: shapeOf(job.request),
+        rank: job.rank,
+        tasks,
+        pressing,
+      })),
+    )
+  }
+
+  /** How much of the machines that could be lent to somebody is ours to lend. */
+  private shareOfFleet(): number {
+    let all = 0
+    for (const entry of this.ctx.membership.mirror.under("s/machine/")) {
+      if ((entry.v as MachineRecord).part !== DEADLINE || this.part === DEADLINE) all++
+    }
+    return all === 0 ? 1 : Math.min(1, this.machines.size / all)
+  }
+
+  /** Hands an empty machine to another part, in one durable step that also raises its token. */
+  private lendMachine(id: MachineId, to: PartName): void {
+    const session = this.machines.get(id)
+    const tenancy = this.tenancies.get(id)
+    if (session === undefined || tenancy === undefined || tenancy.moving || tenancy.returning) return
+    if (!session.empty((task) => this.finishIsDurable(task)) || this.fencing.has(id)) return
+    if (this.ctx.membership.owner(to) === null) return
+    tenancy.moving = true
+    tenancy.holder = null
+    const path = keys.machine(id)
+    const record: MachineRecord = { ...session.record, part: to }
+    const when = [this.partCondition(), { path, stamp: session.recordStamp }]
+    this.ctx.fork(
+      Effect.gen({ self: this }, function* () {
+        const done = yield* Effect.result(this.ctx.state.multi(when, [{ set: path, v: record }], 2))
+        const { mirror } = this.ctx.membership
+        if (Result.isSuccess(done) && done.success.ok) {
+          const entry: Entry = { path, v: record, stamp: done.success.epoch }
+          const introduction = session.introduction(this.ctx.time.moment())
+          this.ctx.log.debug("machine lent", { machine: id, to })
+          mirror.hint(entry)
+          this.ctx.introduce(to, entry, introduction)
+          return
+        }
+        // Without an answer the move may have happened, or may yet: until the
+        // record says which, nothing is placed here.
+        for (;;) {
+          const read = yield* Effect.result(this.ctx.state.get(path))
+          if (Result.isSuccess(read) && read.success !== null) {
+            mirror.hint(read.success)
+            const unknown = Result.isFailure(done) && done.failure.outcome === "unknown"
+            // Rewriting the record stops a late copy of the move by its stamp.
+            if (!unknown || read.success.stamp !== session.recordStamp) break
+            yield* this.refence(session)
+          }
+          if (this.over || !this.machines.has(id)) return
+          yield* Effect.sleep(300)
+        }
+        tenancy.moving = false
+      }),
+    )
+  }
+
+  /** The former owner tells us of a machine that is now ours. */
+  introduced(id: MachineId, by: Introduction): void {
+    this.machines.get(id)?.introduced(by, this.ctx.time.moment())
+    this.planSignal.notify()
+  }
+
+  /** Stops work of lower rank where work of higher rank would otherwise come too late. */
+  private preempt(decided: Plan, needs: ReadonlyArray<Need>, share: number, now: Moment): void {
+    const foreign = needs.filter((n) => n.pressing && !n.shape.together && !n.shape.scatter)
+    const own = decided.unplaced.filter(({ job }) => !job.request.together && !job.request.scatter)
+    if (foreign.length === 0 && own.length === 0) return
+    const victims: Array<Victim<Placement>> = []
+    // What is being stopped already is as good as gone.
+    const soon = this.machineViews(now).map((view) => {
+      let { free, busyTasks } = view
+      for (const placement of this.machines.get(view.id)?.placements.values() ?? []) {
+        const { request } = placement.job
+        if (placement.stop !== null) {
+          busyTasks--
+          free = minus(free, request, -1)
+          continue
+        }
+        const saves = request.snapshot_s > 0
+        const ranS = placement.runningSince === null ? 0 : (now - placement.runningSince) / 1000
+        victims.push({
+          placement,
+          machine: view.id,
+          shape: shapeOf(request),
+          rank: urgencyRank[request.urgency],
+          lossCoreS: (saves ? Math.min(ranS, request.flush_s) : ranS) * request.cores,
+          savesS: saves ? request.flush_s : 0,
+        })
+      }
+      return { ...view, free, busyTasks }
+    })
+    const stopped = new Set<Placement>()
+    const stopAll = (chosen: ReadonlyArray<Victim<Placement>>) => {
+      for (const { placement, savesS } of chosen) {
+        stopped.add(placement)
+        placement.stop = { why: "preempted", leewayS: savesS + 1, since: now }
+        this.ctx.log.debug("task preempted", { task: placement.task, machine: placement.machine })
+      }
+    }
+    const left = (usable: (v: Victim<Placement>) => boolean) =>
+      victims.filter((v) => !stopped.has(v.placement) && usable(v))
+    for (const { job, tasks, pressing } of own) {
+      let missing = tasks
+      for (const view of soon) {
+        if (missing <= 0) break
+        if (view.state !== "up" || !allowed(job.request, view)) continue
+        const take = Math.min(missing, slotsIn(job.request, view.free))
+        view.free = minus(view.free, job.request, take)
+        missing -= take
+      }
+      if (missing <= 0) continue
+      const usable = left((v) => pressing || v.savesS > 0)
+      stopAll(choosePreemptions(shapeOf(job.request), job.rank, missing, soon, usable, false))
+    }
+    for (const need of foreign) {
+      let missing = Math.ceil(need.tasks * share)
+      for (const view of soon) {
+        if (view.state === "up" && view.busyTasks === 0 && allowed(need.shape, view)) {
+          missing -= slotsIn(need.shape, view.type)
+        }
+      }
+      if (missing <= 0) continue
+      stopAll(
+        choosePreemptions(
+          need.shape,
+          need.rank,
+          missing,
+          soon,
+          left(() => true),
+          true,
+        ),
+      )
+    }
   }
 
   private adjustShares(used: ReadonlyMap<TeamName, TeamRoom>): void {
@@ -736,7 +908,7 @@
       }
       const bootingS = (now - tenancy.rentedAt) / 1000
       const state =
-        tenancy.returning || session.warningUntil !== null
+        tenancy.returning || tenancy.moving || session.warningUntil !== null
           ? "away"
           : session.usable(now)
             ? "up"
--- /dev/null
+++ b/packages/planner/src/lend.ts
@@ -0,0 +1,123 @@
+import type { MachineId, PartName } from "@sorreltally/wire"
+import { allowed, fits, type JobView, type MachineView, type Room, slotsIn, type TaskShape } from "./model.ts"
+
+/** Queued tasks that a part has no room for, as it tells the other parts. */
+export interface Need {
+  readonly part: PartName
+  readonly shape: TaskShape
+  readonly rank: number
+  readonly tasks: number
+  /** An aim or deadline is lost unless room is made now, by stopping work of lower rank if need be. */
+  readonly pressing: boolean
+}
+
+export interface Lent {
+  readonly machine: MachineId
+  readonly to: PartName
+}
+
+/** The highest rank among our own queued tasks that this machine could serve. */
+const ownRank = (jobs: ReadonlyArray<JobView>, machine: MachineView): number => {
+  let rank = Number.NEGATIVE_INFINITY
+  for (const job of jobs)
+    if (job.queued > 0 && job.mayStart && allowed(job.request, machine)) rank = Math.max(rank, job.rank)
+  return rank
+}
+
+/**
+ * Empty machines that other parts need more than we do: those needed by work
+ * of higher rank than what we have queued, or that we have no work for at all.
+ * `share` is our fair part of what is asked for, so that not every part sends
+ * its machines to the same need.
+ */
+export const lend = (
+  machines: ReadonlyArray<MachineView>,
+  jobs: ReadonlyArray<JobView>,
+  needs: ReadonlyArray<Need>,
+  share: number,
+): ReadonlyArray<Lent> => {
+  const empty = new Set(machines.filter((m) => m.state === "up" && m.busyTasks === 0))
+  const out: Array<Lent> = []
+  for (const need of [...needs].sort((a, b) => b.rank - a.rank)) {
+    let left = Math.ceil(need.tasks * share)
+    const cached = (m: MachineView) => Number(m.images.has(need.shape.bundle))
+    for (const machine of [...empty].sort((a, b) => cached(b) - cached(a))) {
+      if (left <= 0) break
+      if (!allowed(need.shape, machine) || ownRank(jobs, machine) >= need.rank) continue
+      empty.delete(machine)
+      out.push({ machine: machine.id, to: need.part })
+      left -= slotsIn(need.shape, machine.type)
+    }
+  }
+  return out
+}
+
+/** A running task that could be stopped for work of higher rank. */
+export interface Victim<T> {
+  readonly placement: T
+  readonly machine: MachineId
+  readonly shape: TaskShape
+  readonly rank: number
+  /** Core-seconds lost by stopping it: what it ran since it last saved. */
+  readonly lossCoreS: number
+  /** Room that it frees at once, or only after it has saved. */
+  readonly savesS: number
+}
+
+/**
+ * Which tasks to stop so that `tasks` more of a higher-ranked job fit: machine
+ * by machine, where the least work is lost a slot. With `wholly`, only
+ * machines that end up empty count, since only those can be lent.
+ */
+export const choosePreemptions = <T>(
+  shape: TaskShape,
+  rank: number,
+  tasks: number,
+  machines: ReadonlyArray<MachineView>,
+  victims: ReadonlyArray<Victim<T>>,
+  wholly: boolean,
+): ReadonlyArray<Victim<T>> => {
+  const options: Array<{
+    readonly stop: ReadonlyArray<Victim<T>>
+    readonly slots: number
+    readonly loss: number
+  }> = []
+  for (const machine of machines) {
+    if (machine.state !== "up" || !allowed(shape, machine)) continue
+    const here = victims
+      .filter((v) => v.machine === machine.id && v.rank < rank)
+      .sort((a, b) => a.lossCoreS / a.shape.cores - b.lossCoreS / b.shape.cores)
+    if (here.length === 0 || (wholly && here.length < machine.busyTasks)) continue
+    if (wholly) {
+      const loss = here.reduce((sum, v) => sum + v.lossCoreS, 0)
+      options.push({ stop: here, slots: slotsIn(shape, machine.type), loss })
+      continue
+    }
+    // One more victim at a time, as an option of its own for each slot gained.
+    let room: Room = machine.free
+    let stop: Array<Victim<T>> = []
+    for (const victim of here) {
+      const before = slotsIn(shape, room)
+      room = {
+        cores: room.cores + victim.shape.cores,
+        accelerators: room.accelerators + victim.shape.accelerators,
+        mem_gb: room.mem_gb + victim.shape.mem_gb,
+      }
+      stop.push(victim)
+      const gained = slotsIn(shape, room) - before
+      if (gained > 0 && fits(shape, room)) {
+        options.push({ stop, slots: gained, loss: stop.reduce((sum, v) => sum + v.lossCoreS, 0) })
+        stop = []
+      }
+    }
+  }
+  options.sort((a, b) => a.loss / Math.min(tasks, a.slots) - b.loss / Math.min(tasks, b.slots))
+  const chosen: Array<Victim<T>> = []
+  let left = tasks
+  for (const option of options) {
+    if (left <= 0) break
+    chosen.push(...option.stop)
+    left -= option.slots
+  }
+  return chosen
+}
--- a/packages/planner/src/model.ts
+++ b/packages/planner/src/model.ts
@@ -14,6 +14,23 @@
   readonly mem_gb: number
 }
 
+/** What of a job decides where its tasks fit. */
+export type TaskShape = Pick<
+  JobRequest,
+  "cores" | "accelerators" | "mem_gb" | "builds" | "site" | "loaners" | "together" | "scatter" | "bundle"
+>
+export const shapeOf = (request: JobRequest): TaskShape => ({
+  cores: request.cores,
+  accelerators: request.accelerators,
+  mem_gb: request.mem_gb,
+  builds: request.builds ?? null,
+  site: request.site ?? null,
+  loaners: request.loaners,
+  together: request.together,
+  scatter: request.scatter,
+  bundle: request.bundle,
+})
+
 /** A machine as the planner sees it; `free` counts every task that isn't surely off it. */
 export interface MachineView {
   readonly id: MachineId
@@ -88,12 +105,16 @@
   readonly hires: ReadonlyArray<PlannedHire>
   /** Machines whose holder changes; null: to the pool. */
   readonly holders: ReadonlyArray<{ readonly machine: MachineId; readonly holder: JobId | null }>
-  /** Queued tasks that neither a machine of ours nor the market has room for: borrow. */
-  readonly short: ReadonlyArray<{ readonly job: JobId; readonly tasks: number }>
+  /** Queued tasks for which no machine of ours that is up has room, most urgent job first. */
+  readonly unplaced: ReadonlyArray<{
+    readonly job: JobView
+    readonly tasks: number
+    readonly pressing: boolean
+  }>
 }
 
 export const EPSILON = 1e-6
-export const fits = (request: JobRequest, room: Room): boolean =>
+export const fits = (request: Pick<TaskShape, keyof Room>, room: Room): boolean =>
   request.cores <= room.cores + EPSILON &&
   request.accelerators <= room.accelerators + EPSILON &&
   request.mem_gb <= room.mem_gb + EPSILON
@@ -105,7 +126,7 @@
 })
 
 /** How many tasks of a job a room holds. */
-export const slotsIn = (request: JobRequest, room: Room): number => {
+export const slotsIn = (request: Pick<TaskShape, keyof Room>, room: Room): number => {
   const per = (need: number, has: number) => (need <= 0 ? Number.POSITIVE_INFINITY : (has + EPSILON) / need)
   const slots = Math.min(
     per(request.cores, room.cores),
@@ -117,7 +138,7 @@
 
 /** May the job ever run on this kind of machine? */
 export const allowed = (
-  request: JobRequest,
+  request: TaskShape,
   kind: { readonly type: MachineType; readonly zone: ZoneName; readonly spot: boolean },
 ): boolean =>
   (!kind.spot || request.loaners) &&
--- a/packages/planner/src/plan.ts
+++ b/packages/planner/src/plan.ts
@@ -54,7 +54,7 @@
 
   const coming = slots.filter((s) => s.machine.state === "coming")
   const hires = new Map<Hireable, { count: number; readonly holder: JobId }>()
-  const short: Array<{ job: JobId; tasks: number }> = []
+  const unplaced: Array<Plan["unplaced"][number]> = []
   for (const job of jobs) {
     const pending = queued.get(job.id) ?? 0
     const held = slots.filter((s) => s.machine.holder === job.id)
@@ -62,23 +62,37 @@
       releaseOne(job, held, running.get(job.id) ?? 0, holders)
       continue
     }
+    if (job.mayStart) {
+      const room = roomOf(job, snapshot)
+      if (room > 0) unplaced.push({ job, tasks: Math.min(pending, room), pressing: pressing(job) })
+    }
     let missing = wanted(job, pending, running.get(job.id) ?? 0, coming, snapshot)
     if (missing === 0) releaseOne(job, held, running.get(job.id) ?? 0, holders, pending)
-    const room = snapshot.teams.get(job.request.owner)
-    if (room !== undefined) {
-      missing = Math.min(missing, Math.floor((room.cores + EPSILON) / job.request.cores))
-    }
-    missing -= hire(job, missing, snapshot.market, hires, coming)
-    if (missing > 0) short.push({ job: job.id, tasks: missing })
+    missing = Math.min(missing, roomOf(job, snapshot))
+    hire(job, missing, snapshot.market, hires, coming)
   }
   return {
     placements,
     hires: [...hires].map(([hireable, { count, holder }]): PlannedHire => ({ hireable, count, holder })),
     holders: [...holders.values()],
-    short,
+    unplaced,
   }
 }
 
+/** How many more tasks the job's team may start. */
+const roomOf = (job: JobView, snapshot: Snapshot): number => {
+  const room = snapshot.teams.get(job.request.owner)
+  return room === undefined ? 0 : slotsIn(job.request, { ...room, mem_gb: Number.POSITIVE_INFINITY })
+}
+
+/**
+ * Waiting longer loses an aim or the deadline. Some time is left for room to
+ * come free by itself, since stopping a task that can't save wastes its work.
+ */
+const pressing = (job: JobView): boolean =>
+  (job.startWithinS !== null && job.ageS > job.startWithinS / 4 && job.ageS < 4 * job.startWithinS) ||
+  (job.timeLeftS !== null && job.timeLeftS > 0 && job.timeLeftS < 1.6 * job.executionS)
+
 const placeJob = (
   job: JobView,
   slots: ReadonlyArray<Slot>,
@@ -197,8 +211,8 @@
   market: ReadonlyArray<Hireable>,
   hires: Map<Hireable, { count: number; readonly holder: JobId }>,
   coming: Array<Slot>,
-): number => {
-  if (missing <= 0) return 0
+): void => {
+  if (missing <= 0) return
   let pick: Hireable | null = null
   let pickCost = Number.POSITIVE_INFINITY
   for (const option of market) {
@@ -211,8 +225,7 @@
       pickCost = cost
     }
   }
-  if (pick === null) return 0
-  if (pick.asked) return missing
+  if (pick === null || pick.asked) return
   const per = slotsIn(job.request, pick.type)
   const count = Math.ceil(missing / per)
   const asked = hires.get(pick)
@@ -238,5 +251,4 @@
       free,
     })
   }
-  return missing
 }
--- a/packages/workers/src/session.ts
+++ b/packages/workers/src/session.ts
@@ -30,6 +30,15 @@
 /** A worker drops an answer to a report this long after sending it. */
 const ANSWER_LIFE_MS = 4_000
 
+/** Hearsay of a machine's former owner: good enough to send orders, no proof of anything. */
+export interface Introduction {
+  readonly address: Address
+  readonly tenure: Tenure
+  readonly tick: Tick
+  readonly silentMs: number
+  readonly images: ReadonlyArray<ImageName>
+}
+
 export type Outcome =
   | { readonly kind: "done"; readonly placement: Placement }
   /** Off the machine without a result; `cause` is the worker's word, or ours when the task just went. */
@@ -209,6 +218,29 @@
     return this.tenure !== null && this.silentMs(now) < this.times.reportS * 2_500
   }
 
+  /** Nothing is, or may come to be, on this machine whose owner we would have to be. */
+  empty(finishIsDurable: (task: TaskId) => boolean): boolean {
+    if (this.placements.size > 0 || this.ordersInFlight) return false
+    for (const piece of this.pieces.values()) {
+      if (piece.status !== "exited" || (piece.cause === "done" && !finishIsDurable(piece.piece))) return false
+    }
+    return true
+  }
+  /** What the machine's next owner wants to know, to use it before its next report. */
+  introduction(now: Moment): Introduction | null {
+    if (this.tenure === null || this.address === null) return null
+    const { address, tenure, tick } = this
+    return { address, tenure, tick, silentMs: this.silentMs(now), images: [...this.images.keys()] }
+  }
+  introduced(by: Introduction, now: Moment): void {
+    if (this.tenure !== null) return
+    this.address = by.address
+    this.tenure = by.tenure
+    this.tick = by.tick
+    this.lastHeard = later(now, -by.silentMs)
+    for (const image of by.images) this.images.set(image, now)
+  }
+
   /** What the worker should be told now, given what it last said. */
   orders(now: Moment, finishIsDurable: (task: TaskId) => boolean): ReadonlyArray<Order> {
     if (this.tenure === null) return []
