--- a/packages/controller/src/controller.ts
+++ b/packages/controller/src/controller.ts
@@ -1,7 +1,7 @@
 import type { CloudClient } from "@sorreltally/cloud"
 import { DEADLINE, Membership, type PartKeeper, partOf } from "@sorreltally/membership"
 import type { PeerChannel } from "@sorreltally/peers"
-import type { Need } from "@sorreltally/planner"
+import type { Need, QuotaNeed, Wants } from "@sorreltally/planner"
 import type { Operators, Platform } from "@sorreltally/settings"
 import { type Entry, type JobRecord, keys, type MachineRecord, type StateClient } from "@sorreltally/state"
 import {
@@ -36,8 +36,9 @@
 const BACK_SOON_MS = 20_000
 const RELAY_FOR_MS = 30_000
 const COUNTS_TIMEOUT_MS = 300
-const NEEDS_EVERY_MS = 120
-const NEEDS_LAST_MS = 3_500
+const WANTS_EVERY_MS = 120
+const WANTS_LAST_MS = 3_500
+const NO_WANTS: Wants = { needs: [], quotas: [] }
 
 const machineOf = (entry: Entry): MachineId => entry.path.slice("s/machine/".length) as MachineId
 
@@ -52,8 +53,8 @@
   private readonly sentAway = new Map<MachineId, Moment>()
   private readonly relayUntil = new Map<MachineId, Moment>()
   private readonly estimates = new Estimates()
-  private readonly needs = new Map<PartName, { readonly needs: ReadonlyArray<Need>; readonly at: Moment }>()
-  private needsChanged = false
+  private readonly wants = new Map<PartName, { readonly wants: Wants; readonly at: Moment }>()
+  private wantsChanged = false
   private hires = 0
 
   constructor(
@@ -101,7 +102,7 @@
       [
         this.membership.run,
         this.fleet.run,
-        this.tellNeeds(),
+        this.tellWants(),
         this.peers.serve((kind, body) => this.answerPeer(kind, body)),
       ],
       { concurrency: "unbounded", discard: true },
@@ -121,8 +122,8 @@
       estimates: this.estimates,
       time: this.time,
       log: this.log,
-      needs: (except) => this.needsOf(except),
-      publish: (of, needs) => this.publish(of, needs),
+      wants: (except) => this.wantsOf(except),
+      publish: (of, wants) => this.publish(of, wants),
       introduce: (to, entry, by) => this.introduce(to, entry, by),
       nextHire: () =>
         `${this.membership.incarnation() ?? this.platform.node_name}-${++this.hires}` as HireName,
@@ -152,33 +153,38 @@
 
   // --- between the parts ------------------------------------------------------
 
-  private needsOf(except: PartName): ReadonlyArray<Need> {
-    const oldest = later(this.time.moment(), -NEEDS_LAST_MS)
-    const all: Array<Need> = []
-    for (const [part, told] of this.needs) if (part !== except && told.at > oldest) all.push(...told.needs)
-    return all
+  private wantsOf(except: PartName): Wants {
+    const oldest = later(this.time.moment(), -WANTS_LAST_MS)
+    const needs: Array<Need> = []
+    const quotas: Array<QuotaNeed> = []
+    for (const [part, { wants, at }] of this.wants) {
+      if (part === except || at <= oldest) continue
+      needs.push(...wants.needs)
+      quotas.push(...wants.quotas)
+    }
+    return { needs, quotas }
   }
-  private publish(part: PartName, needs: ReadonlyArray<Need>): void {
-    const before = this.needs.get(part)
-    const changed = JSON.stringify(before?.needs ?? []) !== JSON.stringify(needs)
-    this.needs.set(part, { needs, at: this.time.moment() })
+  private publish(part: PartName, wants: Wants): void {
+    const before = this.wants.get(part)?.wants ?? NO_WANTS
+    const changed = JSON.stringify(before) !== JSON.stringify(wants)
+    this.wants.set(part, { wants, at: this.time.moment() })
     if (!changed) return
-    this.needsChanged = true
+    this.wantsChanged = true
     for (const [other, { engine }] of this.engines) if (other !== part) engine.wake()
   }
-  private tellNeeds() {
+  private tellWants() {
     return Effect.gen({ self: this }, function* () {
       for (let round = 0; ; round++) {
-        yield* Effect.sleep(NEEDS_EVERY_MS)
-        if (!this.needsChanged && round % 8 !== 0) continue
-        this.needsChanged = false
+        yield* Effect.sleep(WANTS_EVERY_MS)
+        if (!this.wantsChanged && round % 8 !== 0) continue
+        this.wantsChanged = false
         const own = [...this.engines.keys()].map((part) => ({
           part,
-          needs: this.needs.get(part)?.needs ?? [],
+          wants: this.wants.get(part)?.wants ?? NO_WANTS,
         }))
         if (own.length === 0) continue
         for (const node of this.peers.nodes)
-          this.fork(Effect.ignore(this.peers.ask(node, "needs", own, 1_000)))
+          this.fork(Effect.ignore(this.peers.ask(node, "wants", own, 1_000)))
       }
     })
   }
@@ -239,10 +245,10 @@
       this.membership.mirror.hint(entry)
       return Effect.succeed(true)
     }
-    if (kind === "needs") {
-      const told = body as ReadonlyArray<{ part: PartName; needs: ReadonlyArray<Need> }>
-      for (const { part, needs } of told) {
-        if (!this.engines.has(part)) this.needs.set(part, { needs, at: this.time.moment() })
+    if (kind === "wants") {
+      const told = body as ReadonlyArray<{ part: PartName; wants: Wants }>
+      for (const { part, wants } of told) {
+        if (!this.engines.has(part)) this.wants.set(part, { wants, at: this.time.moment() })
       }
       for (const { engine } of this.engines.values()) engine.wake()
       return Effect.succeed(true)
--- a/packages/controller/src/engine.ts
+++ b/packages/controller/src/engine.ts
@@ -12,10 +12,12 @@
   type Plan,
   type PlannedHire,
   plan,
+  type QuotaNeed,
   shapeOf,
   slotsIn,
   type TeamRoom,
   type Victim,
+  type Wants,
 } from "@sorreltally/planner"
 import type { Operators, Platform } from "@sorreltally/settings"
 import {
@@ -74,8 +76,8 @@
   readonly log: Log
   readonly nextHire: () => HireName
   /** What other parts lack, as far as we have heard. */
-  readonly needs: (except: PartName) => ReadonlyArray<Need>
-  readonly publish: (part: PartName, needs: ReadonlyArray<Need>) => void
+  readonly wants: (except: PartName) => Wants
+  readonly publish: (part: PartName, wants: Wants) => void
   /** Tells a machine's new owner of it before the watch does. */
   readonly introduce: (to: PartName, entry: Entry, by: Introduction | null) => void
   /** Runs an effect beside the engine's loops, for as long as the engine lives. */
@@ -92,6 +94,8 @@
 const NEVER_BOOTED = 4
 /** Times `startup_s` after which a boot no longer counts as coming: the design's weak spot, see docs/design.md. */
 const OVERDUE_BOOT = 1.6
+/** After a take-over, time in which the machines' first reports come in. */
+const FIRST_REPORTS_MS = 8_000
 /** Needs told to the other parts: the most urgent ones. */
 const NEEDS_TOLD = 4
 const ATTEMPTS_PER_EPOCH = 2 ** 20
@@ -102,6 +106,7 @@
   holder: JobId | null
   /** When it was rented, by our clock. */
   readonly rentedAt: Moment
+  readonly knownSince: Moment
   returning: boolean
   /** On its way to another part. */
   moving: boolean
@@ -316,6 +321,7 @@
     this.tenancies.set(id, {
       holder: this.holderOf.get(id) ?? null,
       rentedAt: later(now, -age),
+      knownSince: now,
       returning: false,
       moving: false,
     })
@@ -668,14 +674,14 @@
   private planOnce(): void {
     const now = this.ctx.time.moment()
     const used = this.teamUse()
-    this.adjustShares(used)
+    const { needs, quotas } = this.ctx.wants(this.part)
+    this.adjustShares(used, quotas)
     const teams = new Map<TeamName, TeamRoom>()
     for (const [team, u] of used) {
       const share = this.shares.share(team)
       teams.set(team, { cores: share.cpus - u.cores, accelerators: share.gpus - u.accelerators })
     }
     const jobs = this.jobViews(now)
-    const needs = this.ctx.needs(this.part)
     const share = this.shareOfFleet()
     for (const { machine, to } of lend(this.machineViews(now), jobs, needs, share))
       this.lendMachine(machine, to)
@@ -688,16 +694,37 @@
     })
     this.carryOut(decided, now)
     this.preempt(decided, needs, share, now)
-    this.ctx.publish(
-      this.part,
-      decided.unplaced.slice(0, NEEDS_TOLD).map(({ job, tasks, pressing }) => ({
+    this.ctx.publish(this.part, {
+      needs: decided.unplaced.slice(0, NEEDS_TOLD).map(({ job, tasks, pressing }) => ({
         part: this.part,
         shape: shapeOf(job.request),
         rank: job.rank,
         tasks,
-        pressing,
+        pressing: pressing && job.withinGuarantee,
       })),
-    )
+      quotas: this.quotaNeeds(jobs, teams),
+    })
+  }
+
+  /** Teams whose share here keeps queued tasks from starting. */
+  private quotaNeeds(
+    jobs: ReadonlyArray<JobView>,
+    teams: ReadonlyMap<TeamName, TeamRoom>,
+  ): ReadonlyArray<QuotaNeed> {
+    const out = new Map<TeamName, QuotaNeed>()
+    for (const { request, queued, rank } of jobs) {
+      const room = teams.get(request.owner)
+      if (
+        queued === 0 ||
+        room === undefined ||
+        slotsIn(request, { ...room, mem_gb: Number.POSITIVE_INFINITY }) >= queued
+      ) {
+        continue
+      }
+      if (rank > (out.get(request.owner)?.rank ?? -1))
+        out.set(request.owner, { part: this.part, team: request.owner, rank })
+    }
+    return [...out.values()]
   }
 
   /** How much of the machines that could be lent to somebody is ours to lend. */
@@ -807,7 +834,8 @@
         missing -= take
       }
       if (missing <= 0) continue
-      const usable = left((v) => pressing || v.savesS > 0)
+      // Work that can't save is given up only for what a team is guaranteed.
+      const usable = left((v) => v.savesS > 0 || (pressing && job.withinGuarantee))
       stopAll(choosePreemptions(shapeOf(job.request), job.rank, missing, soon, usable, false))
     }
     for (const need of foreign) {
@@ -831,17 +859,24 @@
     }
   }
 
-  private adjustShares(used: ReadonlyMap<TeamName, TeamRoom>): void {
+  private adjustShares(used: ReadonlyMap<TeamName, TeamRoom>, quotas: ReadonlyArray<QuotaNeed>): void {
     const changes = this.shares.adjust((team) => {
       const u = used.get(team) ?? { cores: 0, accelerators: 0 }
       let cpus = u.cores
       let gpus = u.accelerators
+      let rank = -1
       for (const job of this.jobs.values()) {
-        if (job.request.owner !== team || job.withdrawn) continue
+        if (job.request.owner !== team || job.withdrawn || job.queued === 0) continue
         cpus += job.queued * job.request.cores
         gpus += job.queued * job.request.accelerators
+        rank = Math.max(rank, urgencyRank[job.request.urgency])
+      }
+      const others = Math.max(-1, ...quotas.filter((q) => q.team === team).map((q) => q.rank))
+      return {
+        used: { cpus: u.cores, gpus: u.accelerators },
+        wanted: { cpus, gpus },
+        asked: others < 0 || others < rank ? "no" : others > rank ? "first" : "equally",
       }
-      return { used: { cpus: u.cores, gpus: u.accelerators }, wanted: { cpus, gpus } }
     })
     for (const change of changes) this.ctx.fork(change)
   }
@@ -912,7 +947,9 @@
           ? "away"
           : session.usable(now)
             ? "up"
-            : !session.up && session.lastHeard === NEVER && bootingS < type.startup_s * OVERDUE_BOOT
+            : session.lastHeard === NEVER &&
+                (bootingS < type.startup_s * OVERDUE_BOOT ||
+                  now < later(tenancy.knownSince, FIRST_REPORTS_MS))
               ? "coming"
               : "away"
       views.push({
@@ -1087,7 +1124,13 @@
       const listIsNew = fleet.listedAt > later(now, -3 * lagMs - 4_000)
       const vanished = listed === undefined && shouldBeListed && listIsNew && session.silentMs(now) > 4_000
       const failed = listed?.status === "failed"
-      const neverUp = session.lastHeard === NEVER && heldMs > session.type.startup_s * NEVER_BOOTED * 1000
+      // A new owner hasn't heard machines that are long up either: the list has to say that it still boots.
+      const neverUp =
+        session.lastHeard === NEVER &&
+        listed?.status === "booting" &&
+        listIsNew &&
+        now > later(tenancy.knownSince, lagMs + FIRST_REPORTS_MS) &&
+        heldMs > session.type.startup_s * NEVER_BOOTED * 1000
       if (vanished || failed || neverUp) {
         this.giveBack(session, vanished ? "vanished" : failed ? "failed" : "never came up")
         continue
--- a/packages/controller/src/shares.ts
+++ b/packages/controller/src/shares.ts
@@ -8,6 +8,13 @@
   readonly cpus: number
   readonly gpus: number
 }
+export interface ShareNeed {
+  readonly used: Amount
+  /** What is used plus what is queued. */
+  readonly wanted: Amount
+  /** Does another part lack quota, for work that goes before our queue or along with it? */
+  readonly asked: "no" | "equally" | "first"
+}
 const NONE: Amount = { cpus: 0, gpus: 0 }
 const least = (a: Amount, b: Amount): Amount => ({
   cpus: Math.min(a.cpus, b.cpus),
@@ -45,32 +52,41 @@
     return ceiling === undefined ? stored : least(stored, ceiling)
   }
 
-  /** Works out by how much each share should change; `need` is what is used plus what is queued. */
-  adjust(
-    need: (team: TeamName) => { readonly used: Amount; readonly wanted: Amount },
-  ): ReadonlyArray<Effect.Effect<void>> {
+  /** Works out by how much each share should change. */
+  adjust(need: (team: TeamName) => ShareNeed): ReadonlyArray<Effect.Effect<void>> {
     const changes: Array<Effect.Effect<void>> = []
     for (const team of this.teams) {
       if (this.busy.has(team.name)) continue
-      const { used, wanted } = need(team.name)
+      const { used, wanted, asked } = need(team.name)
       const share = this.share(team.name)
       const shares = this.mirror.get<QuotaRecord>(keys.quota(team.name))?.v.shares ?? {}
       let free: Amount = { cpus: team.cpus_max, gpus: team.gpus_max }
       for (const s of Object.values(shares)) free = { cpus: free.cpus - s.cpus, gpus: free.gpus - s.gpus }
+      if (asked !== "no") {
+        // Another part can use now what we only hold for later.
+        this.surplusSince.delete(team.name)
+        const slack = asked === "equally" ? SLACK / 2 : 0
+        const target = { cpus: used.cpus + team.cpus_max * slack, gpus: used.gpus + team.gpus_max * slack }
+        if (share.cpus > target.cpus || share.gpus > target.gpus) {
+          changes.push(this.write(team.name, least(share, target), share))
+          continue
+        }
+        if (asked === "first") continue
+      }
       const goal = (u: number, w: number, limit: number) => Math.min(limit, Math.max(u, w) + limit * SLACK)
       const target: Amount = {
         cpus: goal(used.cpus, wanted.cpus, team.cpus_max),
         gpus: goal(used.gpus, wanted.gpus, team.gpus_max),
       }
       const short = wanted.cpus > share.cpus || wanted.gpus > share.gpus
-      const canGrow =
-        (free.cpus > 0 && target.cpus > share.cpus) || (free.gpus > 0 && target.gpus > share.gpus)
-      if (short && canGrow) {
+      const grown: Amount = {
+        cpus: share.cpus + Math.max(0, Math.min(free.cpus, target.cpus - share.cpus)),
+        gpus: share.gpus + Math.max(0, Math.min(free.gpus, target.gpus - share.gpus)),
+      }
+      // A sliver of the limit isn't worth a transaction; the last bit of need is.
+      const worth = grown.cpus - share.cpus + (grown.gpus - share.gpus) > 0.5
+      if (short && worth) {
         this.surplusSince.delete(team.name)
-        const grown: Amount = {
-          cpus: share.cpus + Math.max(0, Math.min(free.cpus, target.cpus - share.cpus)),
-          gpus: share.gpus + Math.max(0, Math.min(free.gpus, target.gpus - share.gpus)),
-        }
         changes.push(this.write(team.name, grown, share))
       } else if (
         share.cpus > target.cpus + team.cpus_max * SLACK ||
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -48,7 +48,13 @@
     const { platform, operators } = orExit(load(options))
     const log = makeLog(levelFrom(process.env.LOG_LEVEL))
     process.on("uncaughtException", (cause) => log.error("uncaught", { cause: String(cause.stack) }))
-    Effect.runFork(service(platform, operators, log))
+    Effect.runCallback(service(platform, operators, log), {
+      // A controller without its loops would only look alive: better to be started again.
+      onExit: (exit) => {
+        log.error("the service ended", { exit: String(exit) })
+        process.exit(1)
+      },
+    })
   })
 withFiles(program.command("check"))
   .description("check the settings and start nothing")
--- a/packages/planner/src/deadline.ts
+++ b/packages/planner/src/deadline.ts
@@ -38,3 +38,10 @@
 ): boolean =>
   input.resources > 1 &&
   requiredTime(input.pendingTasks, input.resources - slotsOfMachine, input.executionTime) < input.timeLeft
+
+/** The paper's test that machines asked for now are up before the deadline: alpha - beta > 0. */
+export const newMachinesComeInTime = (
+  executionTime: number,
+  timeLeft: number,
+  deploymentTime: number,
+): boolean => Math.floor(timeLeft / executionTime) - Math.floor(deploymentTime / executionTime) > 0
--- a/packages/planner/src/lend.ts
+++ b/packages/planner/src/lend.ts
@@ -1,4 +1,4 @@
-import type { MachineId, PartName } from "@sorreltally/wire"
+import type { MachineId, PartName, TeamName } from "@sorreltally/wire"
 import { allowed, fits, type JobView, type MachineView, type Room, slotsIn, type TaskShape } from "./model.ts"
 
 /** Queued tasks that a part has no room for, as it tells the other parts. */
@@ -11,6 +11,18 @@
   readonly pressing: boolean
 }
 
+/** More of a team's limit than its share, as a part tells the other parts. */
+export interface QuotaNeed {
+  readonly part: PartName
+  readonly team: TeamName
+  readonly rank: number
+}
+/** All that a part tells the others. */
+export interface Wants {
+  readonly needs: ReadonlyArray<Need>
+  readonly quotas: ReadonlyArray<QuotaNeed>
+}
+
 export interface Lent {
   readonly machine: MachineId
   readonly to: PartName
@@ -52,6 +64,9 @@
   return out
 }
 
+/** About what an image fetch takes. */
+const FETCH_LOSS_S = 8
+
 /** A running task that could be stopped for work of higher rank. */
 export interface Victim<T> {
   readonly placement: T
@@ -80,17 +95,19 @@
   const options: Array<{
     readonly stop: ReadonlyArray<Victim<T>>
     readonly slots: number
-    readonly loss: number
+    readonly cached: boolean
+    loss: number
   }> = []
   for (const machine of machines) {
     if (machine.state !== "up" || !allowed(shape, machine)) continue
     const here = victims
       .filter((v) => v.machine === machine.id && v.rank < rank)
       .sort((a, b) => a.lossCoreS / a.shape.cores - b.lossCoreS / b.shape.cores)
+    const cached = machine.images.has(shape.bundle)
     if (here.length === 0 || (wholly && here.length < machine.busyTasks)) continue
     if (wholly) {
       const loss = here.reduce((sum, v) => sum + v.lossCoreS, 0)
-      options.push({ stop: here, slots: slotsIn(shape, machine.type), loss })
+      options.push({ stop: here, slots: slotsIn(shape, machine.type), loss, cached })
       continue
     }
     // One more victim at a time, as an option of its own for each slot gained.
@@ -106,11 +123,14 @@
       stop.push(victim)
       const gained = slotsIn(shape, room) - before
       if (gained > 0 && fits(shape, room)) {
-        options.push({ stop, slots: gained, loss: stop.reduce((sum, v) => sum + v.lossCoreS, 0) })
+        options.push({ stop, slots: gained, loss: stop.reduce((sum, v) => sum + v.lossCoreS, 0), cached })
         stop = []
       }
     }
   }
+  // Where the image is missing, its fetch keeps the room from use as long as lost work would.
+  const fetchCost = (o: (typeof options)[number]) => (o.cached ? 0 : FETCH_LOSS_S * shape.cores * o.slots)
+  for (const option of options) option.loss += fetchCost(option)
   options.sort((a, b) => a.loss / Math.min(tasks, a.slots) - b.loss / Math.min(tasks, b.slots))
   const chosen: Array<Victim<T>> = []
   let left = tasks
--- a/packages/planner/src/plan.ts
+++ b/packages/planner/src/plan.ts
@@ -1,5 +1,5 @@
 import type { JobId, ZoneName } from "@sorreltally/wire"
-import { canGiveBack, extraResources } from "./deadline.ts"
+import { canGiveBack, extraResources, newMachinesComeInTime } from "./deadline.ts"
 import {
   allowed,
   EPSILON,
@@ -69,7 +69,7 @@
     let missing = wanted(job, pending, running.get(job.id) ?? 0, coming, snapshot)
     if (missing === 0) releaseOne(job, held, running.get(job.id) ?? 0, holders, pending)
     missing = Math.min(missing, roomOf(job, snapshot))
-    hire(job, missing, snapshot.market, hires, coming)
+    hire(job, missing, snapshot, hires, coming)
   }
   return {
     placements,
@@ -136,7 +136,8 @@
     : job.request.image_gb / Math.max(EPSILON, machine.type.pull_gb_per_s)
   const leftover = (free.cores - job.request.cores) / Math.max(EPSILON, machine.type.cores)
   const mine = machine.holder === job.id ? 1 : 0
-  return -fetchS - 2 * leftover + 0.5 * mine
+  // Steady machines fill last, so that they empty first and can be given back.
+  return -fetchS - 2 * leftover + 0.5 * mine + (machine.spot ? 2 : 0)
 }
 
 /** Slots to ask for beyond what runs and what is coming; takes what it counts on from `coming`. */
@@ -204,18 +205,30 @@
   }
 }
 
+/**
+ * Steady machines cost several times as much, so they are asked for only where
+ * that still serves the deadline or the aim, and not before it has to be.
+ */
+const steadyHelps = (job: JobView, deploymentS: number): boolean =>
+  !job.request.loaners ||
+  (job.timeLeftS !== null
+    ? newMachinesComeInTime(job.executionS, job.timeLeftS, deploymentS)
+    : job.ageS > (job.startWithinS ?? 0) - 2 * deploymentS)
+
 /** Asks for the cheapest kind that fits: spot before steady, the zone with fewer of our machines before others. */
 const hire = (
   job: JobView,
   missing: number,
-  market: ReadonlyArray<Hireable>,
+  snapshot: Snapshot,
   hires: Map<Hireable, { count: number; readonly holder: JobId }>,
   coming: Array<Slot>,
 ): void => {
   if (missing <= 0) return
   let pick: Hireable | null = null
   let pickCost = Number.POSITIVE_INFINITY
-  for (const option of market) {
+  const steadyToo = steadyHelps(job, snapshot.deploymentS)
+  for (const option of snapshot.market) {
+    if (!option.spot && !steadyToo) continue
     if (!allowed(job.request, option) || zoneAllowance(job.request, job.zones, option.zone) <= 0) continue
     const slots = Math.max(1, Math.min(missing, slotsIn(job.request, option.type)))
     const cost = option.price / slots + (option.spot ? 0 : STEADY_LAST)
