--- a/packages/controller/src/engine.ts
+++ b/packages/controller/src/engine.ts
@@ -108,6 +108,8 @@
   readonly rentedAt: Moment
   readonly knownSince: Moment
   returning: boolean
+  /** A steady machine that finishes what it has and is then given back. */
+  closing: boolean
   /** On its way to another part. */
   moving: boolean
 }
@@ -129,6 +131,7 @@
   private readonly planSignal = new Signal()
   private readonly commitSignal = new Signal()
   private readonly shares: Shares
+  private steadyWanted = false
   private attempts = 0
   private committing: ReadonlySet<Placement> = new Set()
   ready = false
@@ -323,6 +326,7 @@
       rentedAt: later(now, -age),
       knownSince: now,
       returning: false,
+      closing: false,
       moving: false,
     })
     this.holderOf.delete(id)
@@ -693,6 +697,8 @@
       deploymentS: this.ctx.operators.provisioning["deployment-s"],
     })
     this.carryOut(decided, now)
+    this.steadyWanted = decided.steadyWanted
+    if (decided.steadyWanted) for (const tenancy of this.tenancies.values()) tenancy.closing = false
     this.preempt(decided, needs, share, now)
     this.ctx.publish(this.part, {
       needs: decided.unplaced.slice(0, NEEDS_TOLD).map(({ job, tasks, pressing }) => ({
@@ -946,7 +952,9 @@
         tenancy.returning || tenancy.moving || session.warningUntil !== null
           ? "away"
           : session.usable(now)
-            ? "up"
+            ? tenancy.closing
+              ? "closing"
+              : "up"
             : session.lastHeard === NEVER &&
                 (bootingS < type.startup_s * OVERDUE_BOOT ||
                   now < later(tenancy.knownSince, FIRST_REPORTS_MS))
@@ -1136,10 +1144,14 @@
         continue
       }
       // Held to the end of its window; renewed when it is of use then.
-      const intoWindow = heldMs % windowMs
-      const idle = session.placements.size === 0 && tenancy.holder === null && session.up
-      if (idle && intoWindow > windowMs - 2.5 * TICK_MS && !this.needed(session))
-        this.giveBack(session, "window over")
+      if (!session.up || heldMs % windowMs <= windowMs - 2.5 * TICK_MS) {
+        if (tenancy.closing && session.up && session.placements.size === 0) this.giveBack(session, "closed")
+        continue
+      }
+      const ours = [...this.machines.values()].some((m) => m.record.loaners && m.up)
+      if (!session.record.loaners && ours && !this.steadyWanted) tenancy.closing = true
+      const idle = session.placements.size === 0 && tenancy.holder === null
+      if (idle && (tenancy.closing || !this.needed(session))) this.giveBack(session, "window over")
     }
   }
 
--- a/packages/planner/src/model.ts
+++ b/packages/planner/src/model.ts
@@ -40,8 +40,11 @@
   readonly free: Room
   readonly busyTasks: number
   readonly images: ReadonlySet<ImageName>
-  /** `up`: can take tasks now; `coming`: rented and not yet overdue; `away`: neither. */
-  readonly state: "up" | "coming" | "away"
+  /**
+   * `up`: can take tasks now; `coming`: rented and not yet overdue; `closing`:
+   * runs what it has and takes nothing new; `away`: none of these.
+   */
+  readonly state: "up" | "coming" | "closing" | "away"
   /** The job that it was rented for or given to; null: in the pool. */
   readonly holder: JobId | null
 }
@@ -105,6 +108,8 @@
   readonly hires: ReadonlyArray<PlannedHire>
   /** Machines whose holder changes; null: to the pool. */
   readonly holders: ReadonlyArray<{ readonly machine: MachineId; readonly holder: JobId | null }>
+  /** Some work needs machines that spot can't give: steady ones that we have are kept in use. */
+  readonly steadyWanted: boolean
   /** Queued tasks for which no machine of ours that is up has room, most urgent job first. */
   readonly unplaced: ReadonlyArray<{
     readonly job: JobView
--- a/packages/planner/src/plan.ts
+++ b/packages/planner/src/plan.ts
@@ -54,6 +54,7 @@
 
   const coming = slots.filter((s) => s.machine.state === "coming")
   const hires = new Map<Hireable, { count: number; readonly holder: JobId }>()
+  let steadyWanted = false
   const unplaced: Array<Plan["unplaced"][number]> = []
   for (const job of jobs) {
     const pending = queued.get(job.id) ?? 0
@@ -69,12 +70,14 @@
     let missing = wanted(job, pending, running.get(job.id) ?? 0, coming, snapshot)
     if (missing === 0) releaseOne(job, held, running.get(job.id) ?? 0, holders, pending)
     missing = Math.min(missing, roomOf(job, snapshot))
+    steadyWanted ||= missing > 0 && steadyHelps(job, snapshot.deploymentS) && !spotOpen(job, snapshot)
     hire(job, missing, snapshot, hires, coming)
   }
   return {
     placements,
     hires: [...hires].map(([hireable, { count, holder }]): PlannedHire => ({ hireable, count, holder })),
     holders: [...holders.values()],
+    steadyWanted,
     unplaced,
   }
 }
@@ -205,6 +208,9 @@
   }
 }
 
+const spotOpen = (job: JobView, snapshot: Snapshot): boolean =>
+  snapshot.market.some((option) => option.spot && allowed(job.request, option))
+
 /**
  * Steady machines cost several times as much, so they are asked for only where
  * that still serves the deadline or the aim, and not before it has to be.
@@ -212,7 +218,8 @@
 const steadyHelps = (job: JobView, deploymentS: number): boolean =>
   !job.request.loaners ||
   (job.timeLeftS !== null
-    ? newMachinesComeInTime(job.executionS, job.timeLeftS, deploymentS)
+    ? newMachinesComeInTime(job.executionS, job.timeLeftS, deploymentS) &&
+      job.timeLeftS > deploymentS + job.executionS
     : job.ageS > (job.startWithinS ?? 0) - 2 * deploymentS)
 
 /** Asks for the cheapest kind that fits: spot before steady, the zone with fewer of our machines before others. */
