--- a/packages/controller/src/engine.ts
+++ b/packages/controller/src/engine.ts
@@ -13,6 +13,7 @@
   type PlannedHire,
   plan,
   type QuotaNeed,
+  type RunningTask,
   shapeOf,
   slotsIn,
   type TeamRoom,
@@ -96,6 +97,8 @@
 const OVERDUE_BOOT = 1.6
 /** After a take-over, time in which the machines' first reports come in. */
 const FIRST_REPORTS_MS = 8_000
+/** How long a lent machine is taken off the borrower's need: until its next word has surely come. */
+const GIVEN_COUNTS_MS = 1_500
 /** Needs told to the other parts: the most urgent ones. */
 const NEEDS_TOLD = 4
 const ATTEMPTS_PER_EPOCH = 2 ** 20
@@ -131,6 +134,8 @@
   private readonly planSignal = new Signal()
   private readonly commitSignal = new Signal()
   private readonly shares: Shares
+  private readonly gifts: Array<{ readonly to: PartName; readonly slots: number; readonly until: Moment }> =
+    []
   private steadyWanted = false
   private attempts = 0
   private committing: ReadonlySet<Placement> = new Set()
@@ -687,26 +692,28 @@
     }
     const jobs = this.jobViews(now)
     const share = this.shareOfFleet()
-    for (const { machine, to } of lend(this.machineViews(now), jobs, needs, share))
-      this.lendMachine(machine, to)
+    for (const { machine, to } of lend(this.machineViews(now), jobs, needs, share, this.given(now))) {
+      this.lendMachine(machine, to, needs)
+    }
     const decided = plan({
       jobs,
       machines: this.machineViews(now),
       teams,
+      running: this.runningTasks(now),
       market: this.ctx.fleet.market(),
       deploymentS: this.ctx.operators.provisioning["deployment-s"],
     })
     this.carryOut(decided, now)
     this.steadyWanted = decided.steadyWanted
     if (decided.steadyWanted) for (const tenancy of this.tenancies.values()) tenancy.closing = false
-    this.preempt(decided, needs, share, now)
+    this.preempt(decided, needs, share, this.given(now), now)
     this.ctx.publish(this.part, {
       needs: decided.unplaced.slice(0, NEEDS_TOLD).map(({ job, tasks, pressing }) => ({
         part: this.part,
         shape: shapeOf(job.request),
         rank: job.rank,
         tasks,
-        pressing: pressing && job.withinGuarantee,
+        pressing: job.withinGuarantee ? pressing : 0,
       })),
       quotas: this.quotaNeeds(jobs, teams),
     })
@@ -733,6 +740,20 @@
     return [...out.values()]
   }
 
+  private runningTasks(now: Moment): ReadonlyArray<RunningTask> {
+    const tasks: Array<RunningTask> = []
+    for (const session of this.machines.values()) {
+      for (const { job, runningSince } of session.placements.values()) {
+        const executionS = this.ctx.estimates.executionS(job.request)
+        const ranS = runningSince === null ? 0 : (now - runningSince) / 1000
+        // One that overran its estimate may end at any time, or much later.
+        const remainingS = ranS < executionS ? executionS - ranS : executionS / 3
+        tasks.push({ cores: job.request.cores, remainingS })
+      }
+    }
+    return tasks
+  }
+
   /** How much of the machines that could be lent to somebody is ours to lend. */
   private shareOfFleet(): number {
     let all = 0
@@ -742,8 +763,16 @@
     return all === 0 ? 1 : Math.min(1, this.machines.size / all)
   }
 
+  /** Slots lent so lately that the borrower's need may not show it yet. */
+  private given(now: Moment): ReadonlyMap<PartName, number> {
+    while (this.gifts[0] !== undefined && this.gifts[0].until < now) this.gifts.shift()
+    const given = new Map<PartName, number>()
+    for (const { to, slots } of this.gifts) given.set(to, (given.get(to) ?? 0) + slots)
+    return given
+  }
+
   /** Hands an empty machine to another part, in one durable step that also raises its token. */
-  private lendMachine(id: MachineId, to: PartName): void {
+  private lendMachine(id: MachineId, to: PartName, needs: ReadonlyArray<Need>): void {
     const session = this.machines.get(id)
     const tenancy = this.tenancies.get(id)
     if (session === undefined || tenancy === undefined || tenancy.moving || tenancy.returning) return
@@ -751,6 +780,11 @@
     if (this.ctx.membership.owner(to) === null) return
     tenancy.moving = true
     tenancy.holder = null
+    const shape = needs.find((n) => n.part === to)?.shape
+    if (shape !== undefined) {
+      const until = later(this.ctx.time.moment(), GIVEN_COUNTS_MS)
+      this.gifts.push({ to, slots: slotsIn(shape, session.type), until })
+    }
     const path = keys.machine(id)
     const record: MachineRecord = { ...session.record, part: to }
     const when = [this.partCondition(), { path, stamp: session.recordStamp }]
@@ -792,8 +826,14 @@
   }
 
   /** Stops work of lower rank where work of higher rank would otherwise come too late. */
-  private preempt(decided: Plan, needs: ReadonlyArray<Need>, share: number, now: Moment): void {
-    const foreign = needs.filter((n) => n.pressing && !n.shape.together && !n.shape.scatter)
+  private preempt(
+    decided: Plan,
+    needs: ReadonlyArray<Need>,
+    share: number,
+    given: ReadonlyMap<PartName, number>,
+    now: Moment,
+  ): void {
+    const foreign = needs.filter((n) => n.pressing > 0 && !n.shape.together && !n.shape.scatter)
     const own = decided.unplaced.filter(({ job }) => !job.request.together && !job.request.scatter)
     if (foreign.length === 0 && own.length === 0) return
     const victims: Array<Victim<Placement>> = []
@@ -831,6 +871,9 @@
     const left = (usable: (v: Victim<Placement>) => boolean) =>
       victims.filter((v) => !stopped.has(v.placement) && usable(v))
     for (const { job, tasks, pressing } of own) {
+      // Work that can save gives way to any of higher rank; other work is given
+      // up only where it has to be, and only for what a team is guaranteed.
+      const forced = job.withinGuarantee ? pressing : 0
       let missing = tasks
       for (const view of soon) {
         if (missing <= 0) break
@@ -840,12 +883,31 @@
         missing -= take
       }
       if (missing <= 0) continue
-      // Work that can't save is given up only for what a team is guaranteed.
-      const usable = left((v) => v.savesS > 0 || (pressing && job.withinGuarantee))
-      stopAll(choosePreemptions(shapeOf(job.request), job.rank, missing, soon, usable, false))
+      const shape = shapeOf(job.request)
+      const saving = choosePreemptions(
+        shape,
+        job.rank,
+        missing,
+        soon,
+        left((v) => v.savesS > 0),
+        false,
+      )
+      if (saving.length > 0) stopAll(saving)
+      else if (forced > 0) {
+        stopAll(
+          choosePreemptions(
+            shape,
+            job.rank,
+            Math.min(missing, forced),
+            soon,
+            left(() => true),
+            false,
+          ),
+        )
+      }
     }
     for (const need of foreign) {
-      let missing = Math.ceil(need.tasks * share)
+      let missing = Math.ceil(need.pressing * share) - (given.get(need.part) ?? 0)
       for (const view of soon) {
         if (view.state === "up" && view.busyTasks === 0 && allowed(need.shape, view)) {
           missing -= slotsIn(need.shape, view.type)
--- a/packages/planner/src/lend.ts
+++ b/packages/planner/src/lend.ts
@@ -7,8 +7,8 @@
   readonly shape: TaskShape
   readonly rank: number
   readonly tasks: number
-  /** An aim or deadline is lost unless room is made now, by stopping work of lower rank if need be. */
-  readonly pressing: boolean
+  /** Those of them for which room is to be made by stopping work of lower rank. */
+  readonly pressing: number
 }
 
 /** More of a team's limit than its share, as a part tells the other parts. */
@@ -47,11 +47,13 @@
   jobs: ReadonlyArray<JobView>,
   needs: ReadonlyArray<Need>,
   share: number,
+  /** Slots that we gave to a part so lately that its need can't show it yet. */
+  given: ReadonlyMap<PartName, number>,
 ): ReadonlyArray<Lent> => {
   const empty = new Set(machines.filter((m) => m.state === "up" && m.busyTasks === 0))
   const out: Array<Lent> = []
   for (const need of [...needs].sort((a, b) => b.rank - a.rank)) {
-    let left = Math.ceil(need.tasks * share)
+    let left = Math.ceil(need.tasks * share) - (given.get(need.part) ?? 0)
     const cached = (m: MachineView) => Number(m.images.has(need.shape.bundle))
     for (const machine of [...empty].sort((a, b) => cached(b) - cached(a))) {
       if (left <= 0) break
--- a/packages/planner/src/model.ts
+++ b/packages/planner/src/model.ts
@@ -85,7 +85,14 @@
   readonly ours: number
 }
 
+/** A task that runs now, and how long it probably still will. */
+export interface RunningTask {
+  readonly cores: number
+  readonly remainingS: number
+}
+
 export interface Snapshot {
+  readonly running: ReadonlyArray<RunningTask>
   readonly jobs: ReadonlyArray<JobView>
   readonly machines: ReadonlyArray<MachineView>
   readonly teams: ReadonlyMap<TeamName, TeamRoom>
@@ -103,6 +110,12 @@
   readonly count: number
   readonly holder: JobId | null
 }
+export interface Unplaced {
+  readonly job: JobView
+  readonly tasks: number
+  /** Those of them that start too late for an aim or the deadline unless room is made. */
+  readonly pressing: number
+}
 export interface Plan {
   readonly placements: ReadonlyArray<PlannedPlacement>
   readonly hires: ReadonlyArray<PlannedHire>
@@ -111,11 +124,7 @@
   /** Some work needs machines that spot can't give: steady ones that we have are kept in use. */
   readonly steadyWanted: boolean
   /** Queued tasks for which no machine of ours that is up has room, most urgent job first. */
-  readonly unplaced: ReadonlyArray<{
-    readonly job: JobView
-    readonly tasks: number
-    readonly pressing: boolean
-  }>
+  readonly unplaced: ReadonlyArray<Unplaced>
 }
 
 export const EPSILON = 1e-6
--- a/packages/planner/src/plan.ts
+++ b/packages/planner/src/plan.ts
@@ -14,6 +14,7 @@
   type Room,
   type Snapshot,
   slotsIn,
+  type Unplaced,
   zoneAllowance,
 } from "./model.ts"
 
@@ -55,7 +56,8 @@
   const coming = slots.filter((s) => s.machine.state === "coming")
   const hires = new Map<Hireable, { count: number; readonly holder: JobId }>()
   let steadyWanted = false
-  const unplaced: Array<Plan["unplaced"][number]> = []
+  let ahead = 0
+  const unplaced: Array<Unplaced> = []
   for (const job of jobs) {
     const pending = queued.get(job.id) ?? 0
     const held = slots.filter((s) => s.machine.holder === job.id)
@@ -63,15 +65,18 @@
       releaseOne(job, held, running.get(job.id) ?? 0, holders)
       continue
     }
+    const late = startTooLate(job, pending, ahead, snapshot)
+    ahead += pending * job.request.cores
     if (job.mayStart) {
       const room = roomOf(job, snapshot)
-      if (room > 0) unplaced.push({ job, tasks: Math.min(pending, room), pressing: pressing(job) })
+      if (room > 0) unplaced.push({ job, tasks: Math.min(pending, room), pressing: Math.min(late, room) })
     }
     let missing = wanted(job, pending, running.get(job.id) ?? 0, coming, snapshot)
     if (missing === 0) releaseOne(job, held, running.get(job.id) ?? 0, holders, pending)
     missing = Math.min(missing, roomOf(job, snapshot))
-    steadyWanted ||= missing > 0 && steadyHelps(job, snapshot.deploymentS) && !spotOpen(job, snapshot)
-    hire(job, missing, snapshot, hires, coming)
+    const steady = steadyHelps(job, late, snapshot.deploymentS)
+    steadyWanted ||= missing > 0 && steady && !spotOpen(job, snapshot)
+    hire(job, missing, steady, snapshot, hires, coming)
   }
   return {
     placements,
@@ -88,13 +93,30 @@
   return room === undefined ? 0 : slotsIn(job.request, { ...room, mem_gb: Number.POSITIVE_INFINITY })
 }
 
-/**
- * Waiting longer loses an aim or the deadline. Some time is left for room to
- * come free by itself, since stopping a task that can't save wastes its work.
- */
-const pressing = (job: JobView): boolean =>
-  (job.startWithinS !== null && job.ageS > job.startWithinS / 4 && job.ageS < 4 * job.startWithinS) ||
-  (job.timeLeftS !== null && job.timeLeftS > 0 && job.timeLeftS < 1.6 * job.executionS)
+/** Seconds left in which a queued task should start; null: too late for any aim, or none. */
+const startsWithinS = (job: JobView): number | null => {
+  if (job.startWithinS !== null && job.ageS < job.startWithinS) return job.startWithinS - job.ageS
+  if (job.timeLeftS !== null && job.timeLeftS > job.executionS) return job.timeLeftS - job.executionS
+  return null
+}
+
+/** Cores that come free within that time as running tasks end, counting the room that then comes free again. */
+const coresFreedWithin = (snapshot: Snapshot, withinS: number, executionS: number): number => {
+  let cores = 0
+  for (const task of snapshot.running) {
+    if (task.remainingS <= withinS)
+      cores += task.cores * (1 + Math.floor((withinS - task.remainingS) / executionS))
+  }
+  return cores
+}
+
+/** Queued tasks of a job that running ones won't make room for in time; `ahead`: cores of the jobs that go first. */
+const startTooLate = (job: JobView, pending: number, ahead: number, snapshot: Snapshot): number => {
+  const withinS = startsWithinS(job)
+  if (withinS === null) return 0
+  const freed = coresFreedWithin(snapshot, withinS, job.executionS) - ahead
+  return Math.max(0, pending - Math.floor(Math.max(0, freed) / job.request.cores))
+}
 
 const placeJob = (
   job: JobView,
@@ -212,20 +234,24 @@
   snapshot.market.some((option) => option.spot && allowed(job.request, option))
 
 /**
- * Steady machines cost several times as much, so they are asked for only where
- * that still serves the deadline or the aim, and not before it has to be.
+ * Steady machines cost several times as much. They are the fall-back where
+ * what runs now ends too late for the queue, and a boot would not.
  */
-const steadyHelps = (job: JobView, deploymentS: number): boolean =>
-  !job.request.loaners ||
-  (job.timeLeftS !== null
-    ? newMachinesComeInTime(job.executionS, job.timeLeftS, deploymentS) &&
-      job.timeLeftS > deploymentS + job.executionS
-    : job.ageS > (job.startWithinS ?? 0) - 2 * deploymentS)
+const steadyHelps = (job: JobView, late: number, deploymentS: number): boolean => {
+  if (!job.request.loaners) return true
+  if (late === 0) return false
+  if (job.timeLeftS === null) return true
+  return (
+    newMachinesComeInTime(job.executionS, job.timeLeftS, deploymentS) &&
+    job.timeLeftS > deploymentS + job.executionS
+  )
+}
 
 /** Asks for the cheapest kind that fits: spot before steady, the zone with fewer of our machines before others. */
 const hire = (
   job: JobView,
   missing: number,
+  steadyToo: boolean,
   snapshot: Snapshot,
   hires: Map<Hireable, { count: number; readonly holder: JobId }>,
   coming: Array<Slot>,
@@ -233,7 +259,6 @@
   if (missing <= 0) return
   let pick: Hireable | null = null
   let pickCost = Number.POSITIVE_INFINITY
-  const steadyToo = steadyHelps(job, snapshot.deploymentS)
   for (const option of snapshot.market) {
     if (!option.spot && !steadyToo) continue
     if (!allowed(job.request, option) || zoneAllowance(job.request, job.zones, option.zone) <= 0) continue
