--- a/packages/planner/src/plan.ts
+++ b/packages/planner/src/plan.ts
@@ -235,15 +235,21 @@
 
 /**
  * Steady machines cost several times as much. They are the fall-back where
- * what runs now ends too late for the queue, and a boot would not.
+ * what runs now ends too late for the queue, and are asked for no sooner than
+ * they have to be: until then spot may open again, or another part lend.
  */
 const steadyHelps = (job: JobView, late: number, deploymentS: number): boolean => {
   if (!job.request.loaners) return true
   if (late === 0) return false
-  if (job.timeLeftS === null) return true
+  const spareS =
+    job.timeLeftS !== null
+      ? job.timeLeftS - job.executionS - deploymentS
+      : (job.startWithinS ?? 2 * deploymentS) - job.ageS - deploymentS
+  // Half a run more than it takes: owners' estimates are often that far off.
+  if (spareS > (deploymentS + job.executionS) / 2) return false
   return (
-    newMachinesComeInTime(job.executionS, job.timeLeftS, deploymentS) &&
-    job.timeLeftS > deploymentS + job.executionS
+    job.timeLeftS === null ||
+    (spareS > 0 && newMachinesComeInTime(job.executionS, job.timeLeftS, deploymentS))
   )
 }
 
