--- a/packages/daemon/src/http.ts
+++ b/packages/daemon/src/http.ts
@@ -1,7 +1,7 @@
 import { Agent, createServer, request as httpRequest, type Server } from "node:http"
 import type { Address, Call, Exchange, Incoming, Log, Outgoing, Reply } from "@sorreltally/wire"
-import { NoAnswer } from "@sorreltally/wire"
-import { Effect, Exit, Option } from "effect"
+import { answeredInTime, NoAnswer } from "@sorreltally/wire"
+import { Effect, Exit } from "effect"
 
 const split = (address: Address) => {
   const at = address.lastIndexOf(":")
@@ -41,18 +41,7 @@
       outgoing.end(text)
       return Effect.sync(() => outgoing.destroy())
     })
-  return {
-    call: (call) =>
-      once(call).pipe(
-        Effect.timeoutOption(call.timeoutMs),
-        Effect.flatMap(
-          Option.match({
-            onNone: () => Effect.fail(new NoAnswer({ reason: "no answer in time" })),
-            onSome: (reply: Reply) => Effect.succeed(reply),
-          }),
-        ),
-      ),
-  }
+  return answeredInTime(once)
 }
 
 /** Serves one handler; the connection's housekeeping is all that happens here. */
--- /dev/null
+++ b/packages/daemon/src/node.ts
@@ -0,0 +1,59 @@
+import { Api } from "@sorreltally/api"
+import { makeCloudClient } from "@sorreltally/cloud"
+import { makeController } from "@sorreltally/controller"
+import { type Links, makePeerChannel } from "@sorreltally/peers"
+import type { Operators, Platform } from "@sorreltally/settings"
+import { makeStateClient } from "@sorreltally/state"
+import {
+  type Exchange,
+  type Incoming,
+  type Log,
+  later,
+  type Moment,
+  NEVER,
+  type Outgoing,
+  timekeeper,
+} from "@sorreltally/wire"
+import { Effect } from "effect"
+
+/** Trouble shorter than this doesn't make the node unready: the balancer doubles its pause at each removal. */
+const STAYS_READY_MS = 30_000
+
+export interface Node {
+  readonly handle: (request: Incoming) => Effect.Effect<Outgoing>
+  /** Runs until it is interrupted. */
+  readonly run: Effect.Effect<void>
+}
+
+/** One controller, put together, without the sockets that it is reached by. */
+export const makeNode = (
+  platform: Platform,
+  operators: Operators,
+  links: Links,
+  log: Log,
+): Effect.Effect<Node, never, Exchange> =>
+  Effect.gen(function* () {
+    const time = yield* timekeeper
+    const { facts, outside, peers, node_name } = platform
+    const nodes = [node_name, ...peers.map((p) => p.node_name)].sort()
+    const state = yield* makeStateClient(outside.state, facts.state, nodes.length)
+    const cloud = yield* makeCloudClient(outside.cloud, facts.cloud, nodes.length)
+    const others = peers.map((p) => p.node_name)
+    const channel = yield* makePeerChannel(node_name, others, links, Math.floor(time.wall()))
+    const controller = yield* makeController(platform, operators, nodes, state, cloud, channel, log)
+    let wellAt: Moment = NEVER
+    const ready = () => {
+      const now = time.moment()
+      if (controller.membership.entitled() && controller.catalog() !== null) wellAt = now
+      return now < later(wellAt, STAYS_READY_MS)
+    }
+    const desk = {
+      ready,
+      catalog: () => controller.catalog(),
+      jobChanged: controller.jobChanged.bind(controller),
+      counts: controller.counts.bind(controller),
+      report: controller.report.bind(controller),
+    }
+    const api = new Api(platform, operators, state, desk, time)
+    return { handle: (request) => api.handle(request), run: controller.run }
+  })
--- /dev/null
+++ b/packages/testkit/src/cloud.ts
@@ -0,0 +1,124 @@
+import type { MachineType } from "@sorreltally/wire"
+import { Machine, type WorkerTimes } from "./machines.ts"
+import type { Net, Request } from "./net.ts"
+import type { Rules } from "./rules.ts"
+import type { Sim } from "./sim.ts"
+
+export interface CloudSettings {
+  readonly types: ReadonlyArray<MachineType>
+  /** Machines to be had of each type, zone and kind. */
+  capacity: number
+  readonly lagMs: number
+  readonly nodes: ReadonlyArray<string>
+  readonly times: WorkerTimes
+  /** Share of machines that never come up. */
+  neverBoots: number
+}
+
+/** A stand-in of the cloud: rents, boots, lists with a lag, takes back. */
+export class Cloud {
+  readonly machines = new Map<string, Machine>()
+  private readonly answers = new Map<string, unknown>()
+  private readonly saved = new Map<string, number>()
+  private count = 0
+  private down = false
+  private history: Array<{ readonly at: number; readonly hosts: ReadonlyArray<Record<string, unknown>> }> = []
+
+  constructor(
+    private readonly sim: Sim,
+    private readonly net: Net,
+    private readonly rules: Rules,
+    readonly settings: CloudSettings,
+  ) {
+    net.listen("cloud", (request, _from, answer) => {
+      sim.after(sim.luck.between(20, 120), () => answer(this.serve(request)))
+    })
+    const record = () => {
+      this.history.push({ at: sim.now, hosts: this.listNow() })
+      while (this.history.length > 1 && this.history[1]!.at < sim.now - 3 * settings.lagMs)
+        this.history.shift()
+      sim.after(500, record)
+    }
+    record()
+  }
+
+  outage(on: boolean): void {
+    this.down = on
+  }
+  private listNow() {
+    return [...this.machines.values()].map((m) => ({
+      id: m.id,
+      address: `${m.id}:9000`,
+      build: m.type.name,
+      site: m.zone,
+      loaners: m.spot,
+      status: m.status,
+      held_s: (this.sim.now - m.rented) / 1000,
+    }))
+  }
+
+  private serve(request: Request): { status: number; body: unknown } {
+    if (this.down) return { status: 503, body: { error: "trouble" } }
+    const url = new URL(request.path, "http://cloud")
+    if (url.pathname === "/catalog") return { status: 200, body: { builds: this.settings.types } }
+    if (url.pathname === "/machines/delete") {
+      for (const id of (request.body as { hosts: Array<string> }).hosts) this.take(id)
+      return { status: 200, body: {} }
+    }
+    if (request.method === "GET") {
+      const asOf = this.sim.now - this.settings.lagMs * this.sim.luck.between(1, 2)
+      const seen = [...this.history].reverse().find((h) => h.at <= asOf)
+      const after = url.searchParams.get("after") ?? ""
+      return {
+        status: 200,
+        body: { hosts: (seen?.hosts ?? []).filter((m) => String(m["id"]) > after), more: false },
+      }
+    }
+    return this.hire(
+      request.body as { hire: string; build: string; site: string; loaners: boolean; how_many: number },
+    )
+  }
+
+  private hire(want: { hire: string; build: string; site: string; loaners: boolean; how_many: number }) {
+    const known = this.answers.get(want.hire)
+    if (known !== undefined) return { status: 200, body: known }
+    const type = this.settings.types.find((t) => t.name === want.build)
+    if (type === undefined) return { status: 400, body: {} }
+    const have = [...this.machines.values()].filter(
+      (m) => m.type === type && m.zone === want.site && m.spot === want.loaners,
+    ).length
+    const count = Math.min(want.how_many, this.settings.capacity - have)
+    if (count <= 0) return { status: 503, body: { error: "no capacity" } }
+    const hosts: Array<string> = []
+    for (let i = 0; i < count; i++) hosts.push(this.rent(type, want.site, want.loaners).id)
+    const body = { hosts }
+    this.answers.set(want.hire, body)
+    return { status: 200, body }
+  }
+
+  rent(type: MachineType, zone: string, spot: boolean): Machine {
+    const id = `i-${String(++this.count).padStart(6, "0")}`
+    const { nodes, times, neverBoots } = this.settings
+    const machine = new Machine(
+      id,
+      type,
+      zone,
+      spot,
+      this.sim,
+      this.net,
+      this.rules,
+      times,
+      nodes,
+      this.saved,
+    )
+    this.machines.set(id, machine)
+    if (!this.sim.luck.chance(neverBoots)) {
+      this.sim.after(type.startup_s * 1000 * this.sim.luck.between(0.6, 1.5), () => machine.boot())
+    }
+    return machine
+  }
+  take(id: string): void {
+    this.machines.get(id)?.remove()
+    this.machines.delete(id)
+  }
+}
--- /dev/null
+++ b/packages/testkit/src/index.ts
@@ -0,0 +1,2 @@
+export * from "./scenario.ts"
+export * from "./world.ts"
--- /dev/null
+++ b/packages/testkit/src/machines.ts
@@ -0,0 +1,302 @@
+import type { JobRequest, MachineType, Order, Report } from "@sorreltally/wire"
+import type { Net } from "./net.ts"
+import type { Rules } from "./rules.ts"
+import type { Sim } from "./sim.ts"
+
+interface Task {
+  readonly job: string
+  readonly index: number
+  readonly attempt: number
+  status: string
+  cause: string | null
+  stored: boolean
+  progressS: number
+  since: number
+  callOff: () => void
+}
+export interface WorkerTimes {
+  readonly report_s: number
+  readonly lease_s: number
+}
+
+/** A stand-in of one machine and its worker. */
+export class Machine {
+  status: "booting" | "running" | "failed" = "booting"
+  tenure = 1
+  private tick = 0
+  private baton = 0
+  private tasks = new Map<string, Task>()
+  private readonly images = new Set<string>()
+  private lastAnswered: number
+  private node = 0
+  private inFlight = false
+  private again = false
+  private lastSent = Number.NEGATIVE_INFINITY
+  private timer: () => void = () => {}
+  private hung = false
+  private missed: Array<() => void> = []
+  warningUntil: number | null = null
+  gone = false
+  /** Task run times are the estimates times this. */
+  speed = 1
+  readonly rented: number
+
+  constructor(
+    readonly id: string,
+    readonly type: MachineType,
+    readonly zone: string,
+    readonly spot: boolean,
+    private readonly sim: Sim,
+    private readonly net: Net,
+    private readonly rules: Rules,
+    private readonly times: WorkerTimes,
+    private readonly nodes: ReadonlyArray<string>,
+    /** Where checkpoints are kept: outside of the machine. */
+    private readonly saved: Map<string, number>,
+  ) {
+    this.rented = sim.now
+    this.lastAnswered = sim.now
+    this.node = Math.floor(sim.luck.next() * nodes.length)
+  }
+
+  boot(): void {
+    if (this.gone) return
+    this.status = "running"
+    this.lastAnswered = this.sim.now
+    this.net.listen(this.id, (request, _from, answer) => {
+      this.whenAwake(() => {
+        if (request.path === "/inspect") return answer({ status: 200, body: this.body() })
+        const { baton, tenure, orders } = request.body as {
+          baton?: number
+          tenure?: number
+          orders: Array<Order>
+        }
+        if (baton === undefined || tenure === undefined) return answer({ status: 400, body: {} })
+        if (baton < this.baton || tenure !== this.tenure) return answer({ status: 409, body: this.body() })
+        this.hear(baton)
+        this.execute(orders)
+        answer({ status: 200, body: this.body() })
+      })
+    })
+    this.schedule(0)
+    this.checkLease()
+  }
+
+  hang(on: boolean): void {
+    this.hung = on
+    if (on) return
+    // Its lease may have run out meanwhile; that comes first.
+    this.expire()
+    const missed = this.missed
+    this.missed = []
+    for (const run of missed) run()
+  }
+  private whenAwake(run: () => void): void {
+    if (this.gone) return
+    if (this.hung) this.missed.push(() => this.whenAwake(run))
+    else run()
+  }
+  /** Power off: nothing runs, nothing answers. */
+  remove(): void {
+    if (this.gone) return
+    this.gone = true
+    this.net.close(this.id)
+    this.timer()
+    for (const task of this.tasks.values()) this.drop(task)
+    this.tasks.clear()
+  }
+  private drop(task: Task): void {
+    task.callOff()
+    if (task.status === "running" || task.status === "flushing")
+      this.rules.ended(task.job, task.index, this.id)
+  }
+
+  private checkLease(): void {
+    if (this.gone) return
+    if (!this.hung) this.expire()
+    this.sim.after(250, () => this.checkLease())
+  }
+  private expire(): void {
+    if (this.sim.now - this.lastAnswered <= this.times.lease_s * 1000) return
+    for (const task of this.tasks.values()) this.drop(task)
+    this.tasks.clear()
+    this.tenure++
+    this.lastAnswered = this.sim.now
+    this.change()
+  }
+
+  private body(): Report {
+    const pieces = [...this.tasks.entries()].map(([piece, t]) => ({
+      piece,
+      try: t.attempt,
+      status: t.status,
+      ...(t.cause === null ? {} : { cause: t.cause, stored: t.stored }),
+    }))
+    return {
+      host: this.id,
+      address: `${this.id}:9000`,
+      build: this.type.name,
+      site: this.zone,
+      loaners: this.spot,
+      tenure: this.tenure,
+      tick: ++this.tick,
+      baton: this.baton,
+      warning_s: this.warningUntil === null ? null : Math.max(0, (this.warningUntil - this.sim.now) / 1000),
+      pieces,
+    } as unknown as Report
+  }
+  private hear(token: number): void {
+    if (token <= this.baton) return
+    this.baton = token
+    this.change()
+  }
+  change(): void {
+    this.again = true
+    this.schedule(Math.max(0, this.lastSent + 500 - this.sim.now))
+  }
+  private schedule(ms: number): void {
+    this.timer()
+    this.timer = this.sim.after(ms, () => this.whenAwake(() => this.report()))
+  }
+
+  private report(): void {
+    if (this.inFlight) return
+    this.inFlight = true
+    this.again = false
+    const sent = this.sim.now
+    const tenure = this.tenure
+    this.lastSent = sent
+    const to = this.nodes[this.node]!
+    let over = false
+    const finish = (next: () => void) => {
+      if (over || this.gone) return
+      over = true
+      this.inFlight = false
+      next()
+    }
+    const tryNext = () => {
+      this.node = (this.node + 1) % this.nodes.length
+      this.schedule(1000)
+    }
+    this.sim.after(4000, () => this.whenAwake(() => finish(tryNext)))
+    this.net.request(this.id, to, { method: "POST", path: "/v1/report", body: this.body() }, (answer) => {
+      this.whenAwake(() => {
+        if (this.sim.now - sent >= 4000) return
+        finish(() => {
+          if (answer?.status === 421) {
+            const steward = (answer.body as { steward?: string } | null)?.steward
+            const at = this.nodes.indexOf(steward ?? "")
+            if (at < 0 || at === this.node) return tryNext()
+            this.node = at
+            return this.schedule(this.sim.luck.between(0, 500))
+          }
+          if (answer?.status !== 200) return tryNext()
+          const { baton, orders } = answer.body as { baton?: number; orders: Array<Order> }
+          if (tenure === this.tenure && baton !== undefined && baton >= this.baton) {
+            this.lastAnswered = sent
+            this.hear(baton)
+            this.execute(orders)
+          }
+          const regular = this.times.report_s * 1000 * this.sim.luck.between(0.75, 1.25)
+          this.schedule(this.again ? Math.max(0, this.lastSent + 500 - this.sim.now) : regular)
+        })
+      })
+    })
+  }
+
+  private execute(orders: ReadonlyArray<Order>): void {
+    for (const order of orders) {
+      const task = this.tasks.get(order.piece)
+      if (order.verb === "start") this.start(order.piece, order.try)
+      else if (task === undefined || task.attempt !== order.try) continue
+      else if (order.verb === "forget") {
+        if (task.status === "exited") this.tasks.delete(order.piece)
+      } else this.stop(task, order.leeway_s)
+    }
+    this.change()
+  }
+
+  private start(piece: string, attempt: number): void {
+    const known = this.tasks.get(piece)
+    if (known?.attempt === attempt) return
+    const at = piece.indexOf("/")
+    const job = piece.slice(0, at)
+    const index = Number(piece.slice(at + 1))
+    const request = this.rules.submitted.get(job)
+    const task: Task = {
+      job,
+      index,
+      attempt,
+      status: "pulling",
+      cause: null,
+      stored: false,
+      progressS: 0,
+      since: this.sim.now,
+      callOff: () => {},
+    }
+    if (known !== undefined && known.status !== "exited") return
+    this.tasks.set(piece, task)
+    if (request === undefined) return this.exit(task, "unknown")
+    let cores = this.type.cores
+    for (const other of this.tasks.values()) {
+      if (other.status !== "exited") cores -= this.rules.submitted.get(other.job)?.cores ?? 0
+    }
+    if (cores < -1e-6) return this.exit(task, "no_room")
+    const pullS = this.images.has(request.bundle) ? 0 : request.image_gb / this.type.pull_gb_per_s
+    task.callOff = this.sim.after(pullS * 1000, () => this.whenAwake(() => this.begin(task, request)))
+  }
+  private begin(task: Task, request: JobRequest): void {
+    if (task.status !== "pulling" || this.gone) return
+    this.images.add(request.bundle)
+    task.status = "running"
+    task.since = this.sim.now
+    this.rules.began(task.job, task.index, {
+      machine: this.id,
+      type: this.type.name,
+      zone: this.zone,
+      spot: this.spot,
+    })
+    this.change()
+    const piece = `${task.job}/${task.index}`
+    const left = this.rules.isFinished(task.job, task.index)
+      ? 0
+      : request.expected_s - (this.saved.get(piece) ?? 0)
+    task.callOff = this.sim.after(left * 1000 * this.speed, () => this.whenAwake(() => this.complete(task)))
+  }
+  private complete(task: Task): void {
+    if (task.status !== "running" || this.gone) return
+    this.rules.finished(task.job, task.index)
+    this.exit(task, "done")
+  }
+  private exit(task: Task, cause: string): void {
+    if (task.status === "running" || task.status === "flushing")
+      this.rules.ended(task.job, task.index, this.id)
+    task.status = "exited"
+    task.cause = cause
+    this.change()
+  }
+  private stop(task: Task, leewayS: number): void {
+    if (task.status === "exited") return
+    const request = this.rules.submitted.get(task.job)
+    task.callOff()
+    if (
+      task.status === "running" &&
+      request !== undefined &&
+      request.snapshot_s > 0 &&
+      leewayS >= request.flush_s
+    ) {
+      task.status = "flushing"
+      const ranS = (this.sim.now - task.since) / 1000 / this.speed
+      task.callOff = this.sim.after(request.flush_s * 1000, () =>
+        this.whenAwake(() => {
+          if (task.status !== "flushing" || this.gone) return
+          const piece = `${task.job}/${task.index}`
+          this.saved.set(piece, (this.saved.get(piece) ?? 0) + ranS)
+          task.stored = true
+          this.exit(task, "stopped")
+        }),
+      )
+      this.change()
+    } else this.exit(task, "stopped")
+  }
+}
--- /dev/null
+++ b/packages/testkit/src/rules.ts
@@ -0,0 +1,115 @@
+import type { Team } from "@sorreltally/settings"
+import type { JobRequest, MachineType } from "@sorreltally/wire"
+import type { Sim } from "./sim.ts"
+
+export interface OnMachine {
+  readonly machine: string
+  readonly type: string
+  readonly zone: string
+  readonly spot: boolean
+}
+
+/** Checks the protocol's rules at every step of a simulated day. */
+export class Rules {
+  readonly broken: Array<string> = []
+  readonly submitted = new Map<string, JobRequest>()
+  private readonly told = new Map<string, string>()
+  private readonly cancelledAt = new Map<string, number>()
+  private readonly askedToCancel = new Set<string>()
+  private readonly places = new Map<string, OnMachine>()
+  private readonly doneTasks = new Map<string, Set<number>>()
+  starts = 0
+
+  constructor(
+    private readonly sim: Sim,
+    private readonly teams: ReadonlyArray<Team>,
+    private readonly types: ReadonlyArray<MachineType>,
+    private readonly cancelS: number,
+  ) {}
+
+  private say(rule: string, what: string): void {
+    this.broken.push(`${rule} at ${(this.sim.now / 1000).toFixed(1)} s: ${what}`)
+  }
+
+  /** The task has its image and runs from now on. */
+  began(job: string, index: number, at: OnMachine): void {
+    this.starts++
+    const request = this.submitted.get(job)!
+    const task = `${job}/${index}`
+    const other = this.places.get(task)
+    if (other !== undefined) this.say("ran_twice", `${task} on ${at.machine} while on ${other.machine}`)
+    this.checkCancelled(task, job)
+    const type = this.types.find((t) => t.name === at.type)
+    const wrong =
+      (request.builds != null && !request.builds.some((b) => b === at.type)) ||
+      (request.site != null && request.site !== at.zone) ||
+      (at.spot && !request.loaners) ||
+      type === undefined
+    const zones = new Map<string, number>([[at.zone, 1]])
+    for (const [key, place] of this.places) {
+      if (key.startsWith(`${job}/`) && key !== task) zones.set(place.zone, (zones.get(place.zone) ?? 0) + 1)
+    }
+    const scattered = request.scatter && zones.get(at.zone)! > Math.ceil(request.pieces / 2)
+    if (wrong || (request.together && zones.size > 1) || scattered) {
+      this.say(
+        "wrong_place",
+        `${task} on ${at.machine} (${at.type}, ${at.zone}, ${at.spot ? "spot" : "steady"})`,
+      )
+    }
+    this.places.set(task, at)
+    let used = 0
+    for (const key of this.places.keys()) {
+      const of = this.submitted.get(key.slice(0, key.indexOf("/")))!
+      if (of.owner === request.owner) used += of.cores
+    }
+    const team = this.teams.find((t) => t.name === request.owner)!
+    if (used > team.cpus_max + 1e-6) this.say("quota", `${team.name} uses ${used} of ${team.cpus_max}`)
+  }
+  ended(job: string, index: number, machine: string): void {
+    if (this.places.get(`${job}/${index}`)?.machine === machine) this.places.delete(`${job}/${index}`)
+  }
+  finished(job: string, index: number): void {
+    const done = this.doneTasks.get(job) ?? new Set()
+    this.doneTasks.set(job, done.add(index))
+  }
+  isFinished(job: string, index: number): boolean {
+    return this.doneTasks.get(job)?.has(index) === true
+  }
+
+  private checkCancelled(task: string, job: string): void {
+    const at = this.cancelledAt.get(job)
+    if (at !== undefined && this.sim.now > at + this.cancelS * 1000) this.say("ran_cancelled", task)
+  }
+  /** To be called now and then. */
+  look(): void {
+    for (const task of this.places.keys()) this.checkCancelled(task, task.slice(0, task.indexOf("/")))
+  }
+
+  asksToCancel(job: string): void {
+    this.askedToCancel.add(job)
+  }
+  /** A user was answered. `asked` is when it sent its request. */
+  answered(job: string, how: "submit" | "poll" | "cancel", status: number, state: string | null): void {
+    const before = this.told.get(job)
+    if (how === "poll" && status === 404 && before !== undefined) this.say("forgotten", `${job}: 404`)
+    if (how === "submit" && (status === 400 || status === 422) && before !== undefined)
+      this.say("forgotten", `${job}: ${status}`)
+    if (status !== 200 && status !== 201) return
+    if (!this.submitted.has(job)) this.say("invented", job)
+    if (state === "done") {
+      const done = this.doneTasks.get(job)?.size ?? 0
+      if (done < (this.submitted.get(job)?.pieces ?? 0))
+        this.say("not_done", `${job}: ${done} tasks are done`)
+    }
+    if (state === "withdrawn" && !this.askedToCancel.has(job))
+      this.say("went_back", `${job}: nobody cancelled it`)
+    if ((before === "done" || before === "withdrawn") && state !== before) {
+      this.say("went_back", `${job}: ${before}, now ${state}`)
+    }
+    this.told.set(job, state ?? "queued")
+    if (state === "withdrawn" && !this.cancelledAt.has(job)) this.cancelledAt.set(job, this.sim.now)
+  }
+  state(job: string): string | null {
+    return this.told.get(job) ?? null
+  }
+}
--- /dev/null
+++ b/packages/testkit/src/scenario.ts
@@ -0,0 +1,214 @@
+import type { JobId, JobRequest, NodeName } from "@sorreltally/wire"
+import { type Form, parse } from "sexpr-plus"
+import { type Setup, usualSetup, World } from "./world.ts"
+
+/** A piece of source without which the scenario must fail. */
+export interface Guard {
+  readonly file: string
+  readonly from: string
+  readonly to: string
+}
+export interface Scenario {
+  readonly name: string
+  readonly guards: ReadonlyArray<Guard>
+  readonly run: () => Result
+}
+export interface Result {
+  readonly failures: ReadonlyArray<string>
+  readonly world: World
+}
+
+type Args = ReadonlyArray<string>
+const number = (args: Args, at: number, or: number): number =>
+  args[at] === undefined ? or : Number(args[at])
+
+/** Options of a job, written `name value`; the rest is as usual. */
+const jobFrom = (id: JobId, args: Args): JobRequest => {
+  const given = new Map<string, string>()
+  for (let i = 0; i + 1 < args.length; i += 2) given.set(args[i]!, args[i + 1]!)
+  const num = (name: string, or: number) => Number(given.get(name) ?? or)
+  const due = given.get("due")
+  return {
+    id,
+    lane: given.get("lane") ?? "bulk",
+    owner: given.get("owner") ?? "red",
+    shape: "batch",
+    urgency: given.get("urgency") ?? "standard",
+    pieces: num("pieces", 4),
+    cores: num("cores", 4),
+    accelerators: 0,
+    mem_gb: num("mem", 4),
+    bundle: given.get("image") ?? "img-1",
+    image_gb: num("image-gb", 1),
+    builds: given.get("build") === undefined ? null : [given.get("build")],
+    site: given.get("zone") ?? null,
+    together: given.get("together") === "yes",
+    scatter: given.get("scatter") === "yes",
+    loaners: given.get("spot") !== "no",
+    expected_s: num("run", 10),
+    snapshot_s: num("snapshot", 0),
+    flush_s: num("flush", 0),
+    due_s: due === undefined ? null : Number(due),
+  } as unknown as JobRequest
+}
+
+let jobCount = 0
+type Action = (world: World, args: Args) => void
+const job = (world: World, args: Args): JobId => world.jobs[number(args, 0, 0)]!
+const node = (args: Args): NodeName => args[0] as NodeName
+const mode = (args: Args, at: number) => (args[at] ?? "hold") as "hold" | "drop" | "reset"
+
+/** Everything a scenario can make happen. Times are in seconds. */
+const actions: Record<string, Action> = {
+  submit: (world, args) => world.submit(jobFrom(`run-${String(++jobCount).padStart(6, "0")}` as JobId, args)),
+  resubmit: (world, args) => world.resubmit(job(world, args)),
+  cancel: (world, args) => world.cancel(job(world, args)),
+  "ask-about-nobody": (world) => world.askAboutNobody(),
+  crash: (world, args) => world.crash(node(args), number(args, 1, 4) * 1000),
+  "crash-all": (world, args) => {
+    for (const name of world.names) world.crash(name, number(args, 0, 4) * 1000)
+  },
+  "state-outage": (world, args) => {
+    world.state.outage(true)
+    world.sim.after(number(args, 0, 10) * 1000, () => world.state.outage(false))
+  },
+  "state-refuses": (world, args) => {
+    world.state.refuse(args[0]!, true)
+    world.sim.after(number(args, 1, 10) * 1000, () => world.state.refuse(args[0]!, false))
+  },
+  "state-mute": (world, args) => {
+    world.state.mute = number(args, 0, 0.2)
+    world.sim.after(number(args, 1, 20) * 1000, () => {
+      world.state.mute = 0
+    })
+  },
+  "cloud-outage": (world, args) => {
+    world.cloud.outage(true)
+    world.sim.after(number(args, 0, 10) * 1000, () => world.cloud.outage(false))
+  },
+  capacity: (world, args) => {
+    world.cloud.settings.capacity = number(args, 0, 0)
+  },
+  "cut-machines": (world, args) =>
+    world.cutMachines(number(args, 0, 1), number(args, 1, 20) * 1000, mode(args, 2)),
+  "cut-zones": (world, args) => world.cutZones(number(args, 0, 20) * 1000, mode(args, 1)),
+  "cut-orders": (world, args) => world.cutOrders(number(args, 0, 20) * 1000),
+  hang: (world, args) => world.hang(number(args, 0, 1), number(args, 1, 20) * 1000),
+  "take-spot": (world, args) => world.takeSpot(number(args, 0, 1), number(args, 1, 0) * 1000),
+  "lose-messages": (world, args) => {
+    world.net.loss = number(args, 0, 0.05)
+    world.sim.after(number(args, 1, 20) * 1000, () => {
+      world.net.loss = 0
+    })
+  },
+  "repeat-messages": (world, args) => {
+    world.net.repeat = number(args, 0, 0.05)
+    world.sim.after(number(args, 1, 20) * 1000, () => {
+      world.net.repeat = 0
+    })
+  },
+  "adopt-strays": (world, args) => {
+    const type = world.cloud.settings.types[0]!
+    for (let i = 0; i < number(args, 0, 1); i++) world.cloud.rent(type, world.setup.zones[0]!, false)
+  },
+}
+
+/** What a scenario can ask for at its end, besides unbroken rules. */
+const expectations: Record<string, (world: World, args: Args) => string | null> = {
+  done: (world, args) => {
+    const { done } = world.counts()
+    return done >= number(args, 0, 1) ? null : `${done} jobs are done, expected ${args[0]}`
+  },
+  "all-over": (world) => {
+    const { done, withdrawn, jobs } = world.counts()
+    return done + withdrawn === jobs ? null : `${done} done and ${withdrawn} withdrawn of ${jobs} jobs`
+  },
+  withdrawn: (world, args) => {
+    const { withdrawn } = world.counts()
+    return withdrawn >= number(args, 0, 1) ? null : `${withdrawn} jobs are withdrawn, expected ${args[0]}`
+  },
+  "starts-at-most": (world, args) =>
+    world.rules.starts <= number(args, 0, 0)
+      ? null
+      : `${world.rules.starts} starts, expected at most ${args[0]}`,
+  "machines-at-most": (world, args) => {
+    const have = world.cloud.machines.size
+    return have <= number(args, 0, 0) ? null : `${have} machines are left, expected at most ${args[0]}`
+  },
+  "no-machine": (world) => expectations["machines-at-most"]!(world, ["0"]),
+  "log-has-no": (world, args) => {
+    const line = world.logged.find((l) => l.includes(args[0]!))
+    return line === undefined ? null : `logged: ${line}`
+  },
+}
+
+const words = (form: Form): ReadonlyArray<string> => {
+  if (form.type !== "list") return [form.content]
+  return form.content.map((f) => {
+    if (f.type === "list") throw new Error(`line ${f.location.start.line}: a word was expected`)
+    return f.content
+  })
+}
+
+/** One scenario a file: `(scenario "name" (seed 1) (until 90) (at 3 (crash host-0)) (expect (done 1)))`. */
+export const readScenario = (text: string, seedShift = 0): Scenario => {
+  const top = parse(text)[0]
+  if (top?.type !== "list") throw new Error("expected (scenario …)")
+  const [, title, ...entries] = top.content
+  let setup: Setup = usualSetup
+  let untilS = 120
+  const events: Array<{ readonly atS: number; readonly action: Action; readonly args: Args }> = []
+  const wishes: Array<(world: World) => string | null> = []
+  const guards: Array<Guard> = []
+  for (const entry of entries) {
+    if (entry.type !== "list") throw new Error(`line ${entry.location.start.line}: a list was expected`)
+    const head = entry.content[0]
+    const what = head?.type === "atom" ? head.content : ""
+    if (what === "at") {
+      const [, at, ...does] = entry.content
+      for (const form of does) {
+        const [name, ...args] = words(form)
+        const action = actions[name ?? ""]
+        if (action === undefined) throw new Error(`line ${form.location.start.line}: unknown action ${name}`)
+        events.push({ atS: Number(words(at!)[0]), action, args })
+      }
+    } else if (what === "expect") {
+      for (const form of entry.content.slice(1)) {
+        const [name, ...args] = words(form)
+        const wish = expectations[name ?? ""]
+        if (wish === undefined)
+          throw new Error(`line ${form.location.start.line}: unknown expectation ${name}`)
+        wishes.push((world) => wish(world, args))
+      }
+    } else if (what === "guard") {
+      const [, file, from, to] = words(entry)
+      guards.push({ file: file!, from: from!, to: to! })
+    } else {
+      const [, ...args] = words(entry)
+      if (what === "until") untilS = Number(args[0])
+      else if (what === "zones") setup = { ...setup, zones: args }
+      else if (["seed", "nodes", "capacity"].includes(what)) setup = { ...setup, [what]: Number(args[0]) }
+      else if (what === "team-limit") setup = { ...setup, teamMax: Number(args[0]) }
+      else if (what === "never-boots") setup = { ...setup, neverBoots: Number(args[0]) }
+      else throw new Error(`line ${entry.location.start.line}: unknown entry ${what}`)
+    }
+  }
+  return {
+    name: title?.type === "string" ? title.content : "unnamed",
+    guards,
+    run: () => {
+      jobCount = 0
+      const world = new World({ ...setup, seed: setup.seed + seedShift })
+      for (const { atS, action, args } of events) world.sim.after(atS * 1000, () => action(world, args))
+      world.sim.runUntil(untilS * 1000)
+      const failures = [...world.rules.broken.slice(0, 5)]
+      if (world.rules.broken.length > 5) failures.push(`… and ${world.rules.broken.length - 5} more`)
+      for (const line of world.logged) if (line.includes(" error ")) failures.push(line)
+      for (const wish of wishes) {
+        const complaint = wish(world)
+        if (complaint !== null) failures.push(complaint)
+      }
+      return { failures, world }
+    },
+  }
+}
--- /dev/null
+++ b/packages/testkit/src/sim.ts
@@ -0,0 +1,147 @@
+import { Clock, Duration, Effect, Scheduler } from "effect"
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus"
+
+interface Timer {
+  readonly at: number
+  readonly n: number
+  run: (() => void) | null
+}
+
+/** Seeded luck; every draw of a simulation comes from one of these. */
+export class Luck {
+  private readonly generator
+  constructor(seed: number) {
+    this.generator = xoroshiro128plus(seed)
+  }
+  /** From 0 to just below 1. */
+  next(): number {
+    return (this.generator.next() >>> 0) / 2 ** 32
+  }
+  between(low: number, high: number): number {
+    return low + (high - low) * this.next()
+  }
+  chance(p: number): boolean {
+    return this.next() < p
+  }
+  pick<A>(from: ReadonlyArray<A>): A {
+    return from[Math.floor(this.next() * from.length)]!
+  }
+}
+
+/**
+ * One thread, one queue and one clock for a whole simulated deployment: runs
+ * that start alike go alike, and hours pass in seconds.
+ */
+export class Sim {
+  now = 0
+  private count = 0
+  private readonly timers: Array<Timer> = []
+  private ready: Array<() => void> = []
+  readonly luck: Luck
+
+  constructor(seed: number) {
+    this.luck = new Luck(seed)
+  }
+
+  soon(run: () => void): void {
+    this.ready.push(run)
+  }
+  /** Returns how to call it off. */
+  after(ms: number, run: () => void): () => void {
+    const timer: Timer = { at: this.now + Math.max(0, ms), n: this.count++, run }
+    // A binary heap by time, then by order of arrival.
+    const heap = this.timers
+    let i = heap.push(timer) - 1
+    while (i > 0) {
+      const parent = (i - 1) >> 1
+      if (!before(heap[i]!, heap[parent]!)) break
+      ;[heap[i], heap[parent]] = [heap[parent]!, heap[i]!]
+      i = parent
+    }
+    return () => {
+      timer.run = null
+    }
+  }
+  private popTimer(): Timer {
+    const heap = this.timers
+    const top = heap[0]!
+    const last = heap.pop()!
+    if (heap.length > 0) {
+      heap[0] = last
+      for (let i = 0; ; ) {
+        let least = i
+        for (const child of [2 * i + 1, 2 * i + 2]) {
+          if (child < heap.length && before(heap[child]!, heap[least]!)) least = child
+        }
+        if (least === i) break
+        ;[heap[i], heap[least]] = [heap[least]!, heap[i]!]
+        i = least
+      }
+    }
+    return top
+  }
+
+  runUntil(end: number): void {
+    for (;;) {
+      while (this.ready.length > 0) {
+        const batch = this.ready
+        this.ready = []
+        for (const run of batch) run()
+      }
+      const next = this.timers[0]
+      if (next === undefined || next.at > end) break
+      this.popTimer()
+      this.now = Math.max(this.now, next.at)
+      next.run?.()
+    }
+    this.now = Math.max(this.now, end)
+  }
+
+  /** A process of its own: once `dead`, nothing it waits for ever comes. */
+  process(wallOffsetMs: number): {
+    readonly provide: Provide
+    readonly kill: () => void
+    readonly alive: () => boolean
+  } {
+    let alive = true
+    const wall = () => Math.floor(EPOCH_MS + this.now + wallOffsetMs)
+    const nanos = () => BigInt(Math.round(this.now * 1e6))
+    const clock: Clock.Clock = {
+      currentTimeMillisUnsafe: wall,
+      currentTimeMillis: Effect.sync(wall),
+      currentTimeNanosUnsafe: () => BigInt(wall()) * 1_000_000n,
+      currentTimeNanos: Effect.sync(() => BigInt(wall()) * 1_000_000n),
+      monotonicTimeNanosUnsafe: nanos,
+      monotonicTimeNanos: Effect.sync(nanos),
+      sleep: (duration) =>
+        Effect.callback<void>((resume) => {
+          const cancel = this.after(Duration.toMillis(duration), () => {
+            if (alive) resume(Effect.void)
+          })
+          return Effect.sync(cancel)
+        }),
+    }
+    const scheduler = new Scheduler.MixedScheduler("async", (run) => {
+      this.soon(() => {
+        if (alive) run()
+      })
+      return () => {}
+    })
+    return {
+      provide: (effect) =>
+        effect.pipe(
+          Effect.provideService(Clock.Clock, clock),
+          Effect.provideService(Scheduler.Scheduler, scheduler),
+        ),
+      kill: () => {
+        alive = false
+      },
+      alive: () => alive,
+    }
+  }
+}
+export type Provide = <A, E, R>(effect: Effect.Effect<A, E, R>) => Effect.Effect<A, E, R>
+
+/** Any time of day will do. */
+const EPOCH_MS = 1_700_000_000_000
+const before = (a: Timer, b: Timer) => a.at < b.at || (a.at === b.at && a.n < b.n)
--- /dev/null
+++ b/packages/testkit/src/state.ts
@@ -0,0 +1,196 @@
+import type { Net, Request } from "./net.ts"
+import type { Sim } from "./sim.ts"
+
+interface Held {
+  v: unknown
+  stamp: number
+  permit: number | null
+}
+interface News {
+  readonly epoch: number
+  readonly path: string
+  readonly entry: Held | null
+}
+interface Condition {
+  readonly path: string
+  readonly stamp: number
+}
+type Change = {
+  readonly set?: string
+  readonly v?: unknown
+  readonly permit?: number
+  readonly delete?: string
+}
+
+const KEPT_NEWS = 10_000
+
+/** A stand-in of the state service: its published protocol, kept in memory. */
+export class StateService {
+  readonly keys = new Map<string, Held>()
+  private epoch = 0
+  private permits = 0
+  private readonly grants = new Map<number, { ttl: number; until: number }>()
+  private readonly news: Array<News> = []
+  private waiting: Array<() => void> = []
+  private down = false
+  private readonly refused = new Set<string>()
+  /** Chance that a transaction is carried out and its answer lost. */
+  mute = 0
+
+  constructor(
+    private readonly sim: Sim,
+    net: Net,
+    private readonly limits: { readonly txn_ops: number; readonly value_kb: number },
+  ) {
+    net.listen("state", (request, from, answer) => {
+      const late = sim.luck.chance(0.02) ? sim.luck.between(50, 300) : sim.luck.between(1, 6)
+      sim.after(late, () => this.serve(request, from, answer))
+    })
+    const expire = () => {
+      if (!this.down) for (const [id, grant] of this.grants) if (grant.until < sim.now) this.end(id)
+      sim.after(50, expire)
+    }
+    expire()
+  }
+
+  outage(on: boolean): void {
+    this.down = on
+    if (!on) this.renewAll()
+  }
+  /** One node alone gets 503, and its leases run out. */
+  refuse(node: string, on: boolean): void {
+    if (on) this.refused.add(node)
+    else this.refused.delete(node)
+  }
+  private renewAll(): void {
+    for (const grant of this.grants.values()) grant.until = this.sim.now + grant.ttl
+  }
+
+  private serve(
+    request: Request,
+    from: string,
+    answer: (a: { status: number; body: unknown }) => void,
+  ): void {
+    if (this.down || this.refused.has(from)) {
+      if (request.path.startsWith("/watch")) return
+      return answer({ status: 503, body: { error: "trouble" } })
+    }
+    const url = new URL(request.path, "http://state")
+    const body = request.body as Record<string, unknown>
+    if (url.pathname.startsWith("/kv/")) {
+      const path = url.pathname.slice("/kv/".length)
+      const held = this.keys.get(path)
+      if (held === undefined) return answer({ status: 404, body: { epoch: this.epoch } })
+      return answer({ status: 200, body: { path, v: held.v, stamp: held.stamp } })
+    }
+    if (url.pathname === "/kv") {
+      const prefix = url.searchParams.get("starts") ?? ""
+      const after = url.searchParams.get("after") ?? ""
+      const page = Math.min(1000, Number(url.searchParams.get("page") ?? 1000))
+      const all = [...this.keys.entries()].filter(([p]) => p.startsWith(prefix) && p > after)
+      all.sort(([a], [b]) => (a < b ? -1 : 1))
+      const items = all.slice(0, page).map(([path, { v, stamp }]) => ({ path, v, stamp }))
+      return answer({ status: 200, body: { items, more: all.length > page, epoch: this.epoch } })
+    }
+    if (url.pathname === "/multi") {
+      const done = this.multi(body)
+      if (done !== null) answer(done)
+      return
+    }
+    if (url.pathname === "/watch") return this.watch(url, answer)
+    if (url.pathname === "/grants") {
+      const ttl = body["ttl_ms"] as number
+      this.grants.set(++this.permits, { ttl, until: this.sim.now + ttl })
+      return answer({ status: 200, body: { permit: this.permits } })
+    }
+    const grant = /^\/grants\/(\d+)(\/touch)?$/.exec(url.pathname)
+    const id = Number(grant?.[1])
+    const held = this.grants.get(id)
+    if (grant === null || held === undefined) return answer({ status: 404, body: {} })
+    if (grant[2] === undefined) this.end(id)
+    else held.until = this.sim.now + held.ttl
+    answer({ status: 200, body: {} })
+  }
+
+  private end(id: number): void {
+    this.grants.delete(id)
+    const gone = [...this.keys].filter(([, held]) => held.permit === id).map(([path]) => path)
+    if (gone.length === 0) return
+    this.epoch++
+    for (const path of gone) this.change(path, null)
+    this.wake()
+  }
+
+  /** Null: carried out, and the answer lost. */
+  private multi(body: Record<string, unknown>): { status: number; body: unknown } | null {
+    const when = (body["when"] ?? []) as Array<Condition>
+    const apply = (body["apply"] ?? []) as Array<Change>
+    const tooBig = apply.some((c) => JSON.stringify(c.v ?? null).length > this.limits.value_kb * 1024)
+    const size = JSON.stringify(body).length
+    if (
+      apply.length > this.limits.txn_ops ||
+      when.length > 4 * this.limits.txn_ops ||
+      tooBig ||
+      size > 65_536
+    ) {
+      throw new Error(
+        `transaction over the limits: ${apply.length} changes, ${when.length} conditions, ${size} bytes`,
+      )
+    }
+    const failed = when.filter((c) => (this.keys.get(c.path)?.stamp ?? 0) !== c.stamp).map((c) => c.path)
+    if (failed.length > 0) return { status: 409, body: { failed, epoch: this.epoch } }
+    if (apply.some((c) => c.permit !== undefined && !this.grants.has(c.permit))) {
+      return { status: 400, body: { error: "no such lease" } }
+    }
+    if (apply.length > 0) {
+      this.epoch++
+      for (const c of apply) {
+        if (c.set !== undefined) this.change(c.set, { v: c.v, stamp: this.epoch, permit: c.permit ?? null })
+        else if (c.delete !== undefined) this.change(c.delete, null)
+      }
+      this.wake()
+    }
+    return this.sim.luck.chance(this.mute) ? null : { status: 200, body: { epoch: this.epoch } }
+  }
+
+  private change(path: string, entry: Held | null): void {
+    if (entry === null) this.keys.delete(path)
+    else this.keys.set(path, entry)
+    this.news.push({ epoch: this.epoch, path, entry })
+    if (this.news.length > KEPT_NEWS) this.news.shift()
+  }
+
+  private watch(url: URL, answer: (a: { status: number; body: unknown }) => void): void {
+    const prefix = url.searchParams.get("starts") ?? ""
+    const after = Number(url.searchParams.get("after"))
+    const oldest = this.news[0]?.epoch ?? 1
+    if (after + 1 < oldest) return answer({ status: 410, body: {} })
+    const news = () =>
+      this.news
+        .filter((n) => n.epoch > after && n.path.startsWith(prefix))
+        .map((n) =>
+          n.entry === null
+            ? { delete: n.path, stamp: n.epoch }
+            : { set: n.path, v: n.entry.v, stamp: n.entry.stamp },
+        )
+    let over = false
+    const look = (final: boolean) => {
+      if (over) return
+      const found = this.down ? [] : news()
+      if (found.length === 0 && (!final || this.down)) {
+        this.waiting.push(() => look(false))
+        if (final) this.sim.after(200, () => look(true))
+        return
+      }
+      over = true
+      answer({ status: 200, body: { epoch: this.epoch, news: found } })
+    }
+    look(false)
+    if (!over) this.sim.after(Number(url.searchParams.get("block_ms") ?? 0), () => look(true))
+  }
+  private wake(): void {
+    const waiting = this.waiting
+    this.waiting = []
+    for (const look of waiting) this.sim.soon(look)
+  }
+}
--- /dev/null
+++ b/packages/testkit/src/world.ts
@@ -0,0 +1,321 @@
+import { makeNode, type Node } from "@sorreltally/daemon/node"
+import type { Links } from "@sorreltally/peers"
+import { defaultOperators, type Platform } from "@sorreltally/settings"
+import {
+  answeredInTime,
+  Exchange,
+  type JobId,
+  type JobRequest,
+  type Log,
+  type MachineType,
+  NoAnswer,
+  type NodeName,
+} from "@sorreltally/wire"
+import { Effect, Exit, Random } from "effect"
+import { Cloud } from "./cloud.ts"
+import type { Machine } from "./machines.ts"
+import { Net } from "./net.ts"
+import { Rules } from "./rules.ts"
+import { Sim } from "./sim.ts"
+import { StateService } from "./state.ts"
+
+export interface Setup {
+  readonly seed: number
+  readonly nodes: number
+  readonly zones: ReadonlyArray<string>
+  readonly capacity: number
+  readonly neverBoots: number
+  readonly teamMax: number
+}
+export const usualSetup: Setup = {
+  seed: 1,
+  nodes: 3,
+  zones: ["a", "b"],
+  capacity: 6,
+  neverBoots: 0,
+  teamMax: 64,
+}
+
+const WORKERS = { report_s: 3, lease_s: 27, cancel_s: 47 }
+
+interface Life {
+  readonly kill: () => void
+  readonly hear: { receive: ((frame: Uint8Array) => void) | null }
+}
+
+/** A whole deployment: controllers, their surroundings, users, and the rules. */
+export class World {
+  readonly sim: Sim
+  readonly net: Net
+  readonly rules: Rules
+  readonly state: StateService
+  readonly cloud: Cloud
+  readonly names: ReadonlyArray<NodeName>
+  private readonly lives = new Map<NodeName, Life>()
+  readonly jobs: Array<JobId> = []
+  readonly logged: Array<string> = []
+  private births = 0
+
+  constructor(readonly setup: Setup) {
+    this.sim = new Sim(setup.seed)
+    this.net = new Net(this.sim)
+    this.names = Array.from({ length: setup.nodes }, (_, i) => `host-${i}` as NodeName)
+    const types = [
+      machineType("small", 8, 32, 0.6, 0.12, 6, setup.zones),
+      machineType("large", 32, 128, 3, 0.6, 12, setup.zones),
+    ]
+    this.rules = new Rules(this.sim, this.platform(0).facts.teams, types, WORKERS.cancel_s)
+    this.state = new StateService(this.sim, this.net, this.platform(0).facts.state)
+    this.cloud = new Cloud(this.sim, this.net, this.rules, {
+      types,
+      capacity: setup.capacity,
+      lagMs: 3_000,
+      nodes: this.names,
+      times: WORKERS,
+      neverBoots: setup.neverBoots,
+    })
+    for (let i = 0; i < setup.nodes; i++) this.sim.after(i * 150, () => this.start(this.names[i]!))
+    const look = () => {
+      this.rules.look()
+      this.sim.after(500, look)
+    }
+    look()
+  }
+
+  private platform(index: number): Platform {
+    const { zones, teamMax } = this.setup
+    const peers = this.names
+      .filter((_, i) => i !== index)
+      .map((name) => ({ node_name: name, area: zones[0]!, peer_addr: `${name}:1` }))
+    return {
+      node_name: this.names[index]!,
+      area: zones[index % zones.length]!,
+      listen: `${this.names[index]}:80`,
+      back: `${this.names[index]}:1`,
+      peers,
+      outside: { cloud: "cloud:1", state: "state:1" },
+      facts: {
+        zones,
+        teams: [
+          { name: "red", cpus: teamMax / 2, cpus_max: teamMax, gpus: 0, gpus_max: 0 },
+          { name: "blue", cpus: teamMax / 2, cpus_max: teamMax, gpus: 0, gpus_max: 0 },
+        ],
+        objectives: [{ kind: "wait", class: "bulk", within_s: 60, share: 0.9 }],
+        workers: WORKERS,
+        state: { rps: 200, write_rps: 60, value_kb: 4, txn_ops: 8 },
+        cloud: { rps: 6, list_lag_s: 3 },
+        machine_limits: { cores: 0.4, mem_mb: 300, fd_limit: 2500 },
+        time_bound_ms: 1000,
+      },
+    } as unknown as Platform
+  }
+
+  // --- controllers ------------------------------------------------------------
+
+  private zoneOf(host: string): string | null {
+    const index = this.names.indexOf(host as NodeName)
+    if (index >= 0) return this.setup.zones[index % this.setup.zones.length]!
+    return this.cloud.machines.get(host)?.zone ?? null
+  }
+
+  private start(name: NodeName): void {
+    if (this.lives.has(name)) return
+    const index = this.names.indexOf(name)
+    const process = this.sim.process(this.sim.luck.between(-900, 900))
+    const hear: Life["hear"] = { receive: null }
+    const links: Links = {
+      send: (to, frame) => {
+        const bytes = Uint8Array.from(frame)
+        if (process.alive()) this.net.carry(name, to, () => this.lives.get(to)?.hear.receive?.(bytes))
+      },
+      receive: (handler) => {
+        hear.receive = handler
+      },
+    }
+    const exchange = answeredInTime((call) =>
+      Effect.callback((resume) => {
+        const to = call.address.slice(0, call.address.lastIndexOf(":"))
+        if (!process.alive()) return
+        this.net.request(name, to, { method: call.method, path: call.path, body: call.body }, (answer) => {
+          if (!process.alive()) return
+          resume(answer === null ? Effect.fail(new NoAnswer({ reason: "reset" })) : Effect.succeed(answer))
+        })
+      }),
+    )
+    const log = (level: string) => (message: string, facts?: Record<string, unknown>) => {
+      if (!process.alive() || level === "debug") return
+      this.logged.push(
+        `${(this.sim.now / 1000).toFixed(2)} ${name} ${level} ${message} ${JSON.stringify(facts ?? {})}`,
+      )
+    }
+    const logs: Log = { error: log("error"), info: log("info"), debug: log("debug") }
+    const seed = `${this.setup.seed}/${++this.births}`
+    const dress = <A>(effect: Effect.Effect<A, never, Exchange>): Effect.Effect<A> =>
+      process.provide(Effect.provideService(effect, Exchange, exchange)).pipe(Random.withSeed(seed))
+    const born = (node: Node) => {
+      Effect.runCallback(dress(node.run))
+      this.net.listen(name, (request, _from, answer) => {
+        if (!process.alive()) return
+        const incoming = { method: request.method, path: request.path, body: JSON.stringify(request.body) }
+        Effect.runCallback(dress(node.handle(incoming)), {
+          onExit: (exit) => {
+            if (process.alive()) answer(Exit.isSuccess(exit) ? exit.value : { status: 503, body: {} })
+          },
+        })
+      })
+    }
+    this.lives.set(name, { kill: process.kill, hear })
+    Effect.runCallback(dress(makeNode(this.platform(index), defaultOperators(), links, logs)), {
+      onExit: (exit) => {
+        if (Exit.isSuccess(exit)) born(exit.value)
+      },
+    })
+  }
+
+  crash(name: NodeName, backAfterMs: number): void {
+    this.lives.get(name)?.kill()
+    this.lives.delete(name)
+    this.net.close(name)
+    this.sim.after(backAfterMs, () => this.start(name))
+  }
+
+  // --- trouble ----------------------------------------------------------------
+
+  running(): ReadonlyArray<Machine> {
+    return [...this.cloud.machines.values()].filter((m) => m.status === "running")
+  }
+  someMachines(count: number): ReadonlyArray<Machine> {
+    const from = [...this.running()]
+    const out: Array<Machine> = []
+    while (out.length < count && from.length > 0) {
+      out.push(...from.splice(Math.floor(this.sim.luck.next() * from.length), 1))
+    }
+    return out
+  }
+  cutMachines(count: number, forMs: number, mode: "hold" | "drop" | "reset"): void {
+    const ids = new Set(this.someMachines(count).map((m) => m.id))
+    this.sim.after(
+      forMs,
+      this.net.cut((a) => ids.has(a), mode),
+    )
+  }
+  cutZones(forMs: number, mode: "hold" | "drop" | "reset"): void {
+    const [one, two] = this.setup.zones
+    this.sim.after(
+      forMs,
+      this.net.cut((a, b) => this.zoneOf(a) === one && this.zoneOf(b) === two, mode),
+    )
+  }
+  /** Only the way from controllers to some machines: late `/orders`, while reports go through. */
+  cutOrders(forMs: number): void {
+    const nodes = new Set<string>(this.names)
+    const ids = new Set(this.running().map((m) => m.id))
+    this.sim.after(
+      forMs,
+      this.net.cutOneWay((from, to) => nodes.has(from) && ids.has(to), "hold"),
+    )
+  }
+  hang(count: number, forMs: number): void {
+    for (const machine of this.someMachines(count)) {
+      machine.hang(true)
+      this.sim.after(forMs, () => machine.hang(false))
+    }
+  }
+  takeSpot(count: number, noticeMs: number): void {
+    for (const machine of this.someMachines(count)) {
+      machine.warningUntil = noticeMs > 0 ? this.sim.now + noticeMs : null
+      if (noticeMs > 0) machine.change()
+      this.sim.after(noticeMs, () => this.cloud.take(machine.id))
+    }
+  }
+
+  // --- users ------------------------------------------------------------------
+
+  private ask(
+    method: string,
+    path: string,
+    body: unknown,
+    done: (status: number, body: unknown) => void,
+  ): void {
+    let over = false
+    const finish = (status: number, answer: unknown) => {
+      if (over) return
+      over = true
+      done(status, answer)
+    }
+    this.sim.after(5_000, () => finish(0, null))
+    this.net.request("users", this.sim.luck.pick(this.names), { method, path, body }, (answer) =>
+      finish(answer?.status ?? 0, answer?.body),
+    )
+  }
+
+  submit(request: JobRequest): void {
+    this.rules.submitted.set(request.id, request)
+    this.jobs.push(request.id)
+    const attempt = () =>
+      this.ask("POST", "/v1/jobs", request, (status, body) => {
+        this.rules.answered(request.id, "submit", status, stateOf(body))
+        if (status === 200 || status === 201) this.poll(request.id)
+        else if (status !== 400 && status !== 422) this.sim.after(1_000, attempt)
+      })
+    attempt()
+  }
+  /** A repeated submission, at any later time. */
+  resubmit(id: JobId): void {
+    const request = this.rules.submitted.get(id)!
+    this.ask("POST", "/v1/jobs", request, (status, body) =>
+      this.rules.answered(id, "submit", status, stateOf(body)),
+    )
+  }
+  private poll(id: JobId): void {
+    const again = () => {
+      this.ask("GET", `/v1/jobs/${id}`, null, (status, body) => {
+        this.rules.answered(id, "poll", status, stateOf(body))
+        this.sim.after(5_000, again)
+      })
+    }
+    this.sim.after(this.sim.luck.between(500, 5_000), again)
+  }
+  cancel(id: JobId): void {
+    this.rules.asksToCancel(id)
+    this.ask("POST", `/v1/jobs/${id}/cancel`, {}, (status, body) => {
+      this.rules.answered(id, "cancel", status, stateOf(body))
+      if (status !== 200) this.sim.after(1_000, () => this.cancel(id))
+    })
+  }
+  askAboutNobody(): void {
+    const id = "run-999999"
+    this.ask("GET", `/v1/jobs/${id}`, null, (status, body) =>
+      this.rules.answered(id, "poll", status, stateOf(body)),
+    )
+  }
+  counts(): { readonly done: number; readonly withdrawn: number; readonly jobs: number } {
+    const states = this.jobs.map((id) => this.rules.state(id))
+    const done = states.filter((s) => s === "done").length
+    return { done, withdrawn: states.filter((s) => s === "withdrawn").length, jobs: this.jobs.length }
+  }
+}
+
+const stateOf = (body: unknown): string | null => (body as { status?: string } | null)?.status ?? null
+
+const machineType = (
+  name: string,
+  cores: number,
+  mem_gb: number,
+  hourly: number,
+  spot_price: number,
+  startup_s: number,
+  sites: ReadonlyArray<string>,
+): MachineType =>
+  ({
+    name,
+    cores,
+    accelerators: 0,
+    mem_gb,
+    cache_gb: 50,
+    pull_gb_per_s: 1,
+    hourly,
+    spot_price,
+    startup_s,
+    sites,
+  }) as unknown as MachineType
--- a/packages/wire/src/exchange.ts
+++ b/packages/wire/src/exchange.ts
@@ -1,4 +1,4 @@
-import { Context, Data, type Effect } from "effect"
+import { Context, Data, Effect, Option } from "effect"
 import type { Address } from "./ids.ts"
 
 /** Nobody answered in time: the request may have been carried out, or may be yet. */
@@ -22,6 +22,22 @@
   { readonly call: (call: Call) => Effect.Effect<Reply, NoAnswer> }
 >()("sorreltally/Exchange") {}
 
+/** Makes an exchange of something that may never answer: what takes longer than the call allows is given up. */
+export const answeredInTime = (
+  once: (call: Call) => Effect.Effect<Reply, NoAnswer>,
+): Exchange["Service"] => ({
+  call: (call) =>
+    once(call).pipe(
+      Effect.timeoutOption(call.timeoutMs),
+      Effect.flatMap(
+        Option.match({
+          onNone: () => Effect.fail(new NoAnswer({ reason: "no answer in time" })),
+          onSome: (reply: Reply) => Effect.succeed(reply),
+        }),
+      ),
+    ),
+})
+
 /** A request as the daemon's server or the tests hand it in; `body` is raw text. */
 export interface Incoming {
   readonly method: string
