--- a/packages/workers/src/session.ts
+++ b/packages/workers/src/session.ts
@@ -115,6 +115,9 @@
     }
     const outcomes: Array<Outcome> = []
     if (this.tenure === null || body.tenure > this.tenure) {
+      // A session's lease runs from its beginning, before any report of it was
+      // answered: we may hear of it by way of /orders first.
+      this.lastAnswered = now
       this.tenure = body.tenure
       this.images.clear()
       this.answeredStarts.clear()
