Quota: every two parts agree which goes first, and unused quota isn't held

Ruled out: lost answers, stuck ceilings. Total order by rank, then oldest job; unused quota is given up after 6 s.

--- a/packages/controller/src/engine.ts
+++ b/packages/controller/src/engine.ts
@@ -4,6 +4,7 @@
 import {
   allowed,
   choosePreemptions,
+  goesFirst,
   type JobView,
   lend,
   type MachineView,
@@ -725,17 +726,14 @@
     teams: ReadonlyMap<TeamName, TeamRoom>,
   ): ReadonlyArray<QuotaNeed> {
     const out = new Map<TeamName, QuotaNeed>()
-    for (const { request, queued, rank } of jobs) {
+    for (const { id, request, queued, rank } of jobs) {
       const room = teams.get(request.owner)
-      if (
-        queued === 0 ||
-        room === undefined ||
-        slotsIn(request, { ...room, mem_gb: Number.POSITIVE_INFINITY }) >= queued
-      ) {
-        continue
-      }
-      if (rank > (out.get(request.owner)?.rank ?? -1))
-        out.set(request.owner, { part: this.part, team: request.owner, rank })
+      if (queued === 0 || room === undefined) continue
+      if (slotsIn(request, { ...room, mem_gb: Number.POSITIVE_INFINITY }) >= queued) continue
+      const since = this.jobs.get(id)?.submitted ?? 0
+      const need: QuotaNeed = { part: this.part, team: request.owner, rank, since }
+      const before = out.get(request.owner)
+      if (before === undefined || goesFirst(need, before)) out.set(request.owner, need)
     }
     return [...out.values()]
   }
@@ -933,19 +931,23 @@
       let cpus = u.cores
       let gpus = u.accelerators
       let rank = -1
+      let since = Number.POSITIVE_INFINITY
       for (const job of this.jobs.values()) {
         if (job.request.owner !== team || job.withdrawn || job.queued === 0) continue
         cpus += job.queued * job.request.cores
         gpus += job.queued * job.request.accelerators
-        rank = Math.max(rank, urgencyRank[job.request.urgency])
+        const of = urgencyRank[job.request.urgency]
+        if (of > rank) since = job.submitted
+        else if (of === rank) since = Math.min(since, job.submitted)
+        rank = Math.max(rank, of)
       }
+      const own: QuotaNeed = { part: this.part, team, rank, since }
       const asking = quotas.filter((q) => q.team === team)
-      const others = Math.max(-1, ...asking.map((q) => q.rank))
+      const first = asking.some((q) => goesFirst(q, own))
       return {
         used: { cpus: u.cores, gpus: u.accelerators },
         wanted: { cpus, gpus },
-        askers: asking.length,
-        asked: others < 0 || others < rank ? "no" : others > rank ? "first" : "equally",
+        asked: asking.length === 0 ? "no" : first ? "first" : "after",
       }
     })
     for (const change of changes) this.ctx.fork(change)
--- a/packages/controller/src/shares.ts
+++ b/packages/controller/src/shares.ts
@@ -12,10 +12,8 @@
   readonly used: Amount
   /** What is used plus what is queued. */
   readonly wanted: Amount
-  /** Does another part lack quota, for work that goes before our queue or along with it? */
-  readonly asked: "no" | "equally" | "first"
-  /** How many parts lack some. */
-  readonly askers: number
+  /** Does another part lack quota, and does its work go before ours? */
+  readonly asked: "no" | "after" | "first"
 }
 const NONE: Amount = { cpus: 0, gpus: 0 }
 const least = (a: Amount, b: Amount): Amount => ({
@@ -26,6 +24,8 @@
 /** A part keeps this much of a team's limit beyond its need, so that shares don't change with every task. */
 const SLACK = 1 / 8
 const KEEP_MS = 10_000
+/** Quota that others lack is held this long for tasks that find no machine. */
+const UNUSED_MS = 6_000
 
 /**
  * A part's share of each team's limit. The shares of all parts never exceed
@@ -36,6 +36,7 @@
 export class Shares {
   private readonly ceiling = new Map<TeamName, Amount>()
   private readonly busy = new Set<TeamName>()
+  private readonly idleSince = new Map<TeamName, Moment>()
   private readonly surplusSince = new Map<TeamName, Moment>()
 
   constructor(
@@ -59,26 +60,26 @@
     const changes: Array<Effect.Effect<void>> = []
     for (const team of this.teams) {
       if (this.busy.has(team.name)) continue
-      const { used, wanted, asked, askers } = need(team.name)
+      const { used, wanted, asked } = need(team.name)
       const share = this.share(team.name)
       const shares = this.mirror.get<QuotaRecord>(keys.quota(team.name))?.v.shares ?? {}
       let free: Amount = { cpus: team.cpus_max, gpus: team.gpus_max }
       for (const s of Object.values(shares)) free = { cpus: free.cpus - s.cpus, gpus: free.gpus - s.gpus }
-      if (asked !== "no") {
-        // Another part can use now what we only hold for later. Among equals
-        // each keeps its even part: if all gave way, none could ever start.
-        this.surplusSince.delete(team.name)
-        const even = asked === "equally" ? 1 / (askers + 1) : 0
-        const target = {
-          cpus: Math.max(used.cpus, team.cpus_max * even),
-          gpus: Math.max(used.gpus, team.gpus_max * even),
-        }
-        if (share.cpus > target.cpus || share.gpus > target.gpus) {
-          changes.push(this.write(team.name, least(share, target), share))
+      if (asked !== "no" && (share.cpus > used.cpus || share.gpus > used.gpus)) {
+        // Another part can use now what we only hold for later: at once if its
+        // work goes first, else when ours hasn't used it for a while. Somebody
+        // always goes first; if all held on or all gave way, none would start.
+        const since = this.idleSince.get(team.name) ?? this.now()
+        this.idleSince.set(team.name, since)
+        if (asked === "first" || this.now() - since > UNUSED_MS) {
+          this.idleSince.delete(team.name)
+          changes.push(this.write(team.name, least(share, used), share))
           continue
         }
-        if (asked === "first") continue
+      } else {
+        this.idleSince.delete(team.name)
       }
+      if (asked === "first") continue
       const goal = (u: number, w: number, limit: number) => Math.min(limit, Math.max(u, w) + limit * SLACK)
       const target: Amount = {
         cpus: goal(used.cpus, wanted.cpus, team.cpus_max),
--- a/packages/planner/src/lend.ts
+++ b/packages/planner/src/lend.ts
@@ -16,7 +16,13 @@
   readonly part: PartName
   readonly team: TeamName
   readonly rank: number
+  /** When the oldest job that lacks it was submitted, by the time of day. */
+  readonly since: number
 }
+
+/** Every two parts agree which of them goes first. */
+export const goesFirst = (a: QuotaNeed, b: QuotaNeed): boolean =>
+  a.rank !== b.rank ? a.rank > b.rank : a.since !== b.since ? a.since < b.since : a.part < b.part
 /** All that a part tells the others. */
 export interface Wants {
   readonly needs: ReadonlyArray<Need>
--- a/packages/testkit/src/machines.ts
+++ b/packages/testkit/src/machines.ts
@@ -105,7 +105,8 @@
   }
   private drop(task: Task): void {
     task.callOff()
-    if (task.status === "running" || task.status === "flushing") this.rules.ended(task.job, task.index, this.id)
+    if (task.status === "running" || task.status === "flushing")
+      this.rules.ended(task.job, task.index, this.id)
     task.status = "gone"
   }
 
--- a/packages/testkit/src/once.ts
+++ b/packages/testkit/src/once.ts
@@ -10,7 +10,8 @@
 if (process.env.VERBOSE !== undefined) {
   for (const id of world.jobs) {
     const state = world.rules.state(id)
-    if (state !== "done" && state !== "withdrawn") process.stdout.write(`${id} ${state} ${world.stored(id)}\n`)
+    if (state !== "done" && state !== "withdrawn")
+      process.stdout.write(`${id} ${state} ${world.stored(id)}\n`)
   }
 }
 process.stdout.write(`${failures.join("\n")}\n`)
