--- a/deploy/operators.sexp
+++ b/deploy/operators.sexp
@@ -1,6 +1,6 @@
 ; Operators' own settings. What isn't named keeps its default; see README.md.
 (provisioning
-  (window-s 60)
+  (window-s 30)
   (deployment-s 40))
 (membership
   (grant-ttl-ms 6000))
--- a/packages/controller/src/engine.ts
+++ b/packages/controller/src/engine.ts
@@ -92,6 +92,8 @@
 const ORDERS_BACKOFF_MS = 4_000
 /** A transaction may be 64 KiB; conditions and names take some of it. */
 const TXN_BYTES = 52 * 1024
+/** The cloud charges this much at least: an earlier return saves nothing. */
+const LEAST_CHARGE_MS = 60_000
 /** Times `startup_s` after which a machine that hasn't come up is given back. */
 const NEVER_BOOTED = 4
 /** Times `startup_s` after which a boot no longer counts as coming: the design's weak spot, see docs/design.md. */
@@ -1209,7 +1211,8 @@
         continue
       }
       // Held to the end of its window; renewed when it is of use then.
-      if (!session.up || heldMs % windowMs <= windowMs - 2.5 * TICK_MS) {
+      const within = heldMs < LEAST_CHARGE_MS - 2.5 * TICK_MS || heldMs % windowMs <= windowMs - 2.5 * TICK_MS
+      if (!session.up || within) {
         if (tenancy.closing && session.up && session.placements.size === 0) this.giveBack(session, "closed")
         continue
       }
--- a/packages/planner/src/plan.ts
+++ b/packages/planner/src/plan.ts
@@ -241,16 +241,13 @@
 const steadyHelps = (job: JobView, late: number, deploymentS: number): boolean => {
   if (!job.request.loaners) return true
   if (late === 0) return false
-  const spareS =
-    job.timeLeftS !== null
-      ? job.timeLeftS - job.executionS - deploymentS
-      : (job.startWithinS ?? 2 * deploymentS) - job.ageS - deploymentS
+  if (job.timeLeftS === null) {
+    return (job.startWithinS ?? 2 * deploymentS) - job.ageS < 1.5 * deploymentS
+  }
+  const spareS = job.timeLeftS - job.executionS - deploymentS
   // Half a run more than it takes: owners' estimates are often that far off.
-  if (spareS > (deploymentS + job.executionS) / 2) return false
-  return (
-    job.timeLeftS === null ||
-    (spareS > 0 && newMachinesComeInTime(job.executionS, job.timeLeftS, deploymentS))
-  )
+  const soon = spareS < (deploymentS + job.executionS) / 2
+  return soon && spareS > 0 && newMachinesComeInTime(job.executionS, job.timeLeftS, deploymentS)
 }
 
 /** Asks for the cheapest kind that fits: spot before steady, the zone with fewer of our machines before others. */
