--- a/packages/controller/src/engine.ts
+++ b/packages/controller/src/engine.ts
@@ -702,6 +702,8 @@
       jobs,
       machines: this.machineViews(now),
       teams,
+      types: [...(this.ctx.fleet.catalog()?.values() ?? [])],
+      dearestSteady: this.ctx.operators.provisioning["dearest-steady"],
       running: this.runningTasks(now),
       market: this.ctx.fleet.market(),
       deploymentS: this.ctx.operators.provisioning["deployment-s"],
--- a/packages/planner/src/model.ts
+++ b/packages/planner/src/model.ts
@@ -92,6 +92,7 @@
 }
 
 export interface Snapshot {
+  readonly types: ReadonlyArray<MachineType>
   readonly running: ReadonlyArray<RunningTask>
   readonly jobs: ReadonlyArray<JobView>
   readonly machines: ReadonlyArray<MachineView>
@@ -99,6 +100,8 @@
   /** Kinds of machine that can be asked for now, those refused lately left out. */
   readonly market: ReadonlyArray<Hireable>
   readonly deploymentS: number
+  /** A steady machine that makes the same work dearer than this many times the cheapest kind isn't asked for. */
+  readonly dearestSteady: number
 }
 
 export interface PlannedPlacement {
--- a/packages/planner/src/plan.ts
+++ b/packages/planner/src/plan.ts
@@ -1,4 +1,4 @@
-import type { JobId, ZoneName } from "@sorreltally/wire"
+import type { JobId, MachineType, ZoneName } from "@sorreltally/wire"
 import { canGiveBack, extraResources, newMachinesComeInTime } from "./deadline.ts"
 import {
   allowed,
@@ -250,6 +250,22 @@
   return soon && spareS > 0 && newMachinesComeInTime(job.executionS, job.timeLeftS, deploymentS)
 }
 
+/** Money for a second of one task's work on a machine that first has to boot. */
+const costOfWork = (job: JobView, missing: number, type: MachineType, price: number): number => {
+  const slots = Math.max(1, Math.min(missing, slotsIn(job.request, type)))
+  return (price * (type.startup_s + job.executionS)) / (slots * job.executionS)
+}
+/** What that costs at best, whether such machines can be had now or not. */
+const cheapestWork = (job: JobView, missing: number, snapshot: Snapshot): number => {
+  let cheapest = Number.POSITIVE_INFINITY
+  for (const type of snapshot.types) {
+    if (!fits(job.request, type)) continue
+    const price = job.request.loaners ? Math.min(type.spot_price, type.hourly) : type.hourly
+    cheapest = Math.min(cheapest, costOfWork(job, missing, type, price))
+  }
+  return cheapest
+}
+
 /** Asks for the cheapest kind that fits: spot before steady, the zone with fewer of our machines before others. */
 const hire = (
   job: JobView,
@@ -262,11 +278,12 @@
   if (missing <= 0) return
   let pick: Hireable | null = null
   let pickCost = Number.POSITIVE_INFINITY
+  const dearest = snapshot.dearestSteady * cheapestWork(job, missing, snapshot)
   for (const option of snapshot.market) {
-    if (!option.spot && !steadyToo) continue
     if (!allowed(job.request, option) || zoneAllowance(job.request, job.zones, option.zone) <= 0) continue
-    const slots = Math.max(1, Math.min(missing, slotsIn(job.request, option.type)))
-    const cost = option.price / slots + (option.spot ? 0 : STEADY_LAST)
+    const work = costOfWork(job, missing, option.type, option.price)
+    if (!option.spot && (!steadyToo || (job.request.loaners && work > dearest))) continue
+    const cost = work + (option.spot ? 0 : STEADY_LAST)
     const closer = pick !== null && Math.abs(cost - pickCost) < EPSILON && option.ours < pick.ours
     if (cost < pickCost - EPSILON || closer) {
       pick = option
--- a/packages/settings/src/operators.ts
+++ b/packages/settings/src/operators.ts
@@ -21,13 +21,19 @@
  */
 export const knobs = {
   provisioning: {
-    "window-s": knob(60, 1, 86_400, "rented machines are held to the end of a window of this length"),
+    "window-s": knob(30, 1, 86_400, "rented machines are held to the end of a window of this length"),
     "deployment-s": knob(
       40,
       0,
       3_600,
       "time from a rental until tasks can run, until boots have been measured",
     ),
+    "dearest-steady": knob(
+      6,
+      1,
+      1_000,
+      "a steady machine is rented while it costs at most this many times the cheapest kind for the same work",
+    ),
     "refusal-memory-s": knob(12, 0, 600, "how long a refused type, zone and kind is left alone"),
   },
   membership: {
