--- a/packages/controller/src/engine.ts
+++ b/packages/controller/src/engine.ts
@@ -40,6 +40,7 @@
   type Exchange,
   type HireName,
   type JobId,
+  type JobRequest,
   type Log,
   later,
   type MachineId,
@@ -59,6 +60,7 @@
 } from "@sorreltally/wire"
 import { type Introduction, type Outcome, WorkerSession } from "@sorreltally/workers"
 import { Effect, Result } from "effect"
+import { Arrivals } from "./arrivals.ts"
 import type { Estimates } from "./estimates.ts"
 import type { Fleet } from "./fleet.ts"
 import { Shares } from "./shares.ts"
@@ -139,6 +141,8 @@
   private readonly shares: Shares
   private readonly gifts: Array<{ readonly to: PartName; readonly slots: number; readonly until: Moment }> =
     []
+  private readonly arrivals = new Arrivals()
+  private reserveRank = Number.NEGATIVE_INFINITY
   private steadyWanted = false
   private attempts = 0
   private committing: ReadonlySet<Placement> = new Set()
@@ -265,6 +269,7 @@
     if (partOf(id, record.request.due_s != null, this.ctx.nodes) !== this.part) return
     if (known === undefined) {
       this.jobs.set(id, new JobState(id, record, entry.stamp))
+      this.arrived(record.request)
       this.planSignal.notify()
       return
     }
@@ -272,6 +277,16 @@
     if (record.withdrawn === true && !known.withdrawn) this.withdraw(known)
   }
 
+  private arrived(request: JobRequest): void {
+    const within = this.startWithin(request.lane, request.expected_s)
+    let soonestBoot = Number.POSITIVE_INFINITY
+    for (const type of this.ctx.fleet.catalog()?.values() ?? [])
+      soonestBoot = Math.min(soonestBoot, type.startup_s)
+    if (within === null || within >= soonestBoot) return
+    this.arrivals.learn(request.pieces * request.cores, request.bundle)
+    this.reserveRank = Math.max(this.reserveRank, urgencyRank[request.urgency])
+  }
+
   private withdraw(job: JobState): void {
     job.withdrawn = true
     const since = this.ctx.time.moment()
@@ -408,7 +423,18 @@
     for (const outcome of outcomes) {
       const { placement } = outcome
       const { job } = placement
-      if (outcome.kind === "running") continue
+      if (outcome.kind === "running") {
+        const waitedS = (this.ctx.time.wall() - job.submitted) / 1000
+        const fetchedS = (now - placement.placedAt) / 1000
+        this.ctx.log.debug("task runs", {
+          task: placement.task,
+          lane: job.request.lane,
+          machine: session.id,
+          waitedS,
+          fetchedS,
+        })
+        continue
+      }
       if (outcome.kind === "done") {
         job.finish(placement.index)
         job.failures = 0
@@ -695,7 +721,19 @@
     }
     const jobs = this.jobViews(now)
     const share = this.shareOfFleet()
-    for (const { machine, to } of lend(this.machineViews(now), jobs, needs, share, this.given(now))) {
+    const reserve = {
+      rank: this.reserveRank,
+      cores: this.arrivals.reserveCores(),
+      images: this.arrivals.images(),
+    }
+    for (const { machine, to } of lend(
+      this.machineViews(now),
+      jobs,
+      needs,
+      share,
+      this.given(now),
+      reserve,
+    )) {
       this.lendMachine(machine, to, needs)
     }
     const decided = plan({
@@ -704,6 +742,7 @@
       teams,
       types: [...(this.ctx.fleet.catalog()?.values() ?? [])],
       dearestSteady: this.ctx.operators.provisioning["dearest-steady"],
+      reserve,
       running: this.runningTasks(now),
       market: this.ctx.fleet.market(),
       deploymentS: this.ctx.operators.provisioning["deployment-s"],
--- a/packages/planner/src/lend.ts
+++ b/packages/planner/src/lend.ts
@@ -1,5 +1,16 @@
 import type { MachineId, PartName, TeamName } from "@sorreltally/wire"
-import { allowed, fits, type JobView, type MachineView, type Room, slotsIn, type TaskShape } from "./model.ts"
+import {
+  allowed,
+  fits,
+  isReserved,
+  type JobView,
+  type MachineView,
+  type Reserve,
+  type Room,
+  slotsIn,
+  spareCores,
+  type TaskShape,
+} from "./model.ts"
 
 /** Queued tasks that a part has no room for, as it tells the other parts. */
 export interface Need {
@@ -55,15 +66,24 @@
   share: number,
   /** Slots that we gave to a part so lately that its need can't show it yet. */
   given: ReadonlyMap<PartName, number>,
+  reserve: Reserve,
 ): ReadonlyArray<Lent> => {
   const empty = new Set(machines.filter((m) => m.state === "up" && m.busyTasks === 0))
   const out: Array<Lent> = []
+  let spare = spareCores(
+    machines.map((machine) => ({ machine, free: machine.free })),
+    reserve,
+  )
   for (const need of [...needs].sort((a, b) => b.rank - a.rank)) {
     let left = Math.ceil(need.tasks * share) - (given.get(need.part) ?? 0)
     const cached = (m: MachineView) => Number(m.images.has(need.shape.bundle))
     for (const machine of [...empty].sort((a, b) => cached(b) - cached(a))) {
       if (left <= 0) break
       if (!allowed(need.shape, machine) || ownRank(jobs, machine) >= need.rank) continue
+      if (need.rank < reserve.rank && isReserved(machine, reserve)) {
+        if (spare < machine.free.cores) continue
+        spare -= machine.free.cores
+      }
       empty.delete(machine)
       out.push({ machine: machine.id, to: need.part })
       left -= slotsIn(need.shape, machine.type)
--- a/packages/planner/src/model.ts
+++ b/packages/planner/src/model.ts
@@ -91,7 +91,33 @@
   readonly remainingS: number
 }
 
+/**
+ * Room kept free of work below a rank, for jobs that have to start sooner than
+ * a machine boots. It is worth something only where their images are.
+ */
+export interface Reserve {
+  readonly rank: number
+  readonly cores: number
+  readonly images: ReadonlySet<ImageName>
+}
+export const isReserved = (machine: MachineView, reserve: Reserve): boolean => {
+  for (const image of reserve.images) if (machine.images.has(image)) return true
+  return false
+}
+/** Cores that work of lower rank may still take on machines with the reserve's images. */
+export const spareCores = (
+  rooms: Iterable<{ readonly machine: MachineView; readonly free: Room }>,
+  reserve: Reserve,
+): number => {
+  let spare = -reserve.cores
+  for (const { machine, free } of rooms) {
+    if (machine.state === "up" && isReserved(machine, reserve)) spare += free.cores
+  }
+  return spare
+}
+
 export interface Snapshot {
+  readonly reserve: Reserve
   readonly types: ReadonlyArray<MachineType>
   readonly running: ReadonlyArray<RunningTask>
   readonly jobs: ReadonlyArray<JobView>
--- a/packages/planner/src/plan.ts
+++ b/packages/planner/src/plan.ts
@@ -5,6 +5,7 @@
   EPSILON,
   fits,
   type Hireable,
+  isReserved,
   type JobView,
   type MachineView,
   minus,
@@ -14,10 +15,14 @@
   type Room,
   type Snapshot,
   slotsIn,
+  spareCores,
   type Unplaced,
   zoneAllowance,
 } from "./model.ts"
 
+/** Seconds of fetching that other work rather takes than room beside the reserve's images. */
+const RESERVED_S = 4
+
 /** Above any price: steady machines are the fall-back once every fitting kind of spot is refused. */
 const STEADY_LAST = 1e6
 
@@ -131,13 +136,17 @@
   if (team === undefined) return
   const zones = new Map<ZoneName, number>(job.zones)
   const usable = slots.filter((s) => s.machine.state === "up" && allowed(request, { ...s.machine }))
+  const below = job.rank < snapshot.reserve.rank
+  let spare = below ? spareCores(slots, snapshot.reserve) : Number.POSITIVE_INFINITY
+  const reserved = new Set(below ? usable.filter((s) => isReserved(s.machine, snapshot.reserve)) : [])
   for (let left = job.queued; left > 0; left--) {
     if (team.cores + EPSILON < request.cores || team.accelerators + EPSILON < request.accelerators) return
     let best: Slot | null = null
     let bestScore = Number.NEGATIVE_INFINITY
     for (const slot of usable) {
       if (!fits(request, slot.free) || zoneAllowance(request, zones, slot.machine.zone) <= 0) continue
-      const score = suitability(job, slot)
+      if (reserved.has(slot) && spare < request.cores) continue
+      const score = suitability(job, slot) - (reserved.has(slot) ? RESERVED_S : 0)
       if (score > bestScore) {
         best = slot
         bestScore = score
@@ -145,6 +154,7 @@
     }
     if (best === null) return
     best.free = minus(best.free, request)
+    if (reserved.has(best)) spare -= request.cores
     team.cores -= request.cores
     team.accelerators -= request.accelerators
     zones.set(best.machine.zone, (zones.get(best.machine.zone) ?? 0) + 1)
