--- a/deploy/operators.sexp
+++ b/deploy/operators.sexp
@@ -2,5 +2,3 @@
 (provisioning
   (window-s 30)
   (deployment-s 40))
-(membership
-  (grant-ttl-ms 6000))
--- a/packages/controller/src/engine.ts
+++ b/packages/controller/src/engine.ts
@@ -5,6 +5,7 @@
   allowed,
   choosePreemptions,
   goesFirst,
+  isReserved,
   type JobView,
   lend,
   type MachineView,
@@ -14,9 +15,11 @@
   type PlannedHire,
   plan,
   type QuotaNeed,
+  type Reserve,
   type RunningTask,
   shapeOf,
   slotsIn,
+  spareCores,
   type TeamRoom,
   type Victim,
   type Wants,
@@ -287,6 +290,10 @@
     this.reserveRank = Math.max(this.reserveRank, urgencyRank[request.urgency])
   }
 
+  private reserve(): Reserve {
+    return { rank: this.reserveRank, cores: this.arrivals.reserveCores(), images: this.arrivals.images() }
+  }
+
   private withdraw(job: JobState): void {
     job.withdrawn = true
     const since = this.ctx.time.moment()
@@ -1229,6 +1236,7 @@
   private checkMachines(): void {
     const now = this.ctx.time.moment()
     const { fleet } = this.ctx
+    const { needs } = this.ctx.wants(this.part)
     const lagMs = this.ctx.platform.facts.cloud.list_lag_s * 1000
     const windowMs = this.ctx.operators.provisioning["window-s"] * 1000
     for (const session of this.machines.values()) {
@@ -1260,10 +1268,25 @@
       const ours = [...this.machines.values()].some((m) => m.record.loaners && m.up)
       if (!session.record.loaners && ours && !this.steadyWanted) tenancy.closing = true
       const idle = session.placements.size === 0 && tenancy.holder === null
-      if (idle && (tenancy.closing || !this.needed(session))) this.giveBack(session, "window over")
+      if (!idle || this.needed(session) || this.inReserve(session, now)) continue
+      // Of no use here: another part may still want it before the cloud gets it back.
+      const shape = { type: session.type, zone: session.record.site, spot: session.record.loaners }
+      const need = tenancy.closing ? undefined : needs.find((n) => allowed(n.shape, shape))
+      if (need === undefined) this.giveBack(session, "window over")
+      else this.lendMachine(session.id, need.part, needs)
     }
   }
 
+  /** Without it, less room than the reserve would be left beside the reserve's images. */
+  private inReserve(session: WorkerSession, now: Moment): boolean {
+    const reserve = this.reserve()
+    const views = this.machineViews(now)
+    const view = views.find((v) => v.id === session.id)
+    if (view === undefined || !isReserved(view, reserve)) return false
+    const rooms = views.map((machine) => ({ machine, free: machine.free }))
+    return spareCores(rooms, reserve) < view.free.cores
+  }
+
   /** Is there queued work that this idle machine could take? */
   private needed(session: WorkerSession): boolean {
     for (const job of this.jobs.values()) {
