--- a/packages/cloud/src/index.ts
+++ b/packages/cloud/src/index.ts
@@ -21,10 +21,15 @@
 export type HireOutcome =
   | { readonly kind: "rented"; readonly machines: ReadonlyArray<MachineId> }
   | { readonly kind: "no-capacity" }
+  /** Not wanted any more when its turn came. */
+  | { readonly kind: "dropped" }
 
 export interface CloudClient {
   readonly catalog: Effect.Effect<ReadonlyArray<MachineType>, CloudTrouble>
-  readonly hire: (request: HireRequest) => Effect.Effect<HireOutcome, CloudTrouble>
+  readonly hire: (
+    request: HireRequest,
+    stillWanted: () => boolean,
+  ) => Effect.Effect<HireOutcome, CloudTrouble>
   /** Once this succeeds, the machines and all that ran on them are gone. */
   readonly remove: (machines: ReadonlyArray<MachineId>) => Effect.Effect<void, CloudTrouble>
   readonly list: Effect.Effect<ReadonlyArray<ListedMachine>, CloudTrouble>
@@ -37,7 +42,7 @@
 const TIMEOUT_MS = 3_000
 const PAGE = 500
 
-/** What goes first when calls have to queue: giving back, then renting, then looking. */
+/** What goes first when calls have to queue: giving back, then renting and the list of machines, then the rest. */
 type Haste = 0 | 1 | 2
 
 /** Calls are spaced so that all nodes together stay below the cloud's rate. */
@@ -81,13 +86,12 @@
     // 429 is retried like any other refusal.
     const share = Math.min(1, 1.5 / nodes) * limits.rps * 0.9
     const pace = new Pace(1000 / share)
+    const send = (method: "GET" | "POST", path: string, body?: unknown) =>
+      exchange
+        .call({ address, method, path, body, timeoutMs: TIMEOUT_MS })
+        .pipe(Effect.mapError(() => new CloudTrouble({ outcome: "unknown", status: 0 })))
     const call = (haste: Haste, method: "GET" | "POST", path: string, body?: unknown) =>
-      Effect.andThen(
-        pace.take(haste),
-        exchange
-          .call({ address, method, path, body, timeoutMs: TIMEOUT_MS })
-          .pipe(Effect.mapError(() => new CloudTrouble({ outcome: "unknown", status: 0 }))),
-      )
+      Effect.andThen(pace.take(haste), send(method, path, body))
     const refuse = (status: number) => Effect.fail(new CloudTrouble({ outcome: "refused", status }))
 
     return {
@@ -97,19 +101,25 @@
           ? Effect.succeed(decoded.success.builds)
           : refuse(reply.status)
       }),
-      hire: (request) =>
-        Effect.flatMap(
-          call(1, "POST", "/machines", request),
-          (reply): Effect.Effect<HireOutcome, CloudTrouble> => {
-            const decoded = decodeHire(reply.body)
-            if (reply.status === 200 && Result.isSuccess(decoded)) {
-              return Effect.succeed({ kind: "rented", machines: decoded.success.hosts })
-            }
-            const error = (reply.body as { error?: unknown } | null)?.error
-            return reply.status === 503 && error === "no capacity"
-              ? Effect.succeed({ kind: "no-capacity" })
-              : refuse(reply.status)
-          },
+      hire: (request, stillWanted) =>
+        Effect.andThen(
+          pace.take(1),
+          Effect.suspend((): Effect.Effect<HireOutcome, CloudTrouble> => {
+            if (!stillWanted()) return Effect.succeed({ kind: "dropped" })
+            return Effect.flatMap(
+              send("POST", "/machines", request),
+              (reply): Effect.Effect<HireOutcome, CloudTrouble> => {
+                const decoded = decodeHire(reply.body)
+                if (reply.status === 200 && Result.isSuccess(decoded)) {
+                  return Effect.succeed({ kind: "rented", machines: decoded.success.hosts })
+                }
+                const error = (reply.body as { error?: unknown } | null)?.error
+                return reply.status === 503 && error === "no capacity"
+                  ? Effect.succeed({ kind: "no-capacity" })
+                  : refuse(reply.status)
+              },
+            )
+          }),
         ),
       remove: (machines) =>
         Effect.flatMap(call(0, "POST", "/machines/delete", { hosts: machines }), (reply) =>
@@ -119,7 +129,7 @@
         const all: Array<ListedMachine> = []
         let after = ""
         for (;;) {
-          const reply = yield* call(2, "GET", `/machines?after=${after}&page=${PAGE}`)
+          const reply = yield* call(1, "GET", `/machines?after=${after}&page=${PAGE}`)
           const decoded = decodePage(reply.body)
           if (reply.status !== 200 || !Result.isSuccess(decoded)) return yield* refuse(reply.status)
           all.push(...decoded.success.hosts)
--- a/packages/controller/src/arrivals.ts
+++ b/packages/controller/src/arrivals.ts
@@ -1,9 +1,11 @@
-import type { ImageName } from "@sorreltally/wire"
+import { type ImageName, type Moment, NEVER } from "@sorreltally/wire"
 
 /** Weight of the newest arrival; about the last twenty count. */
 const NEWEST = 0.1
 const FIRST_WEIGHT = 3
 const RECENT = 20
+/** Usual gaps between arrivals after which no more are expected. */
+const OVERDUE = 4
 
 /**
  * How much room jobs that have to start sooner than a machine boots ask for as
@@ -13,10 +15,14 @@
   private mean = 0
   private variance = 0
   private seen = 0
+  private gapMs = 0
+  private lastAt = NEVER
 
   private readonly recent: Array<ImageName> = []
 
-  learn(cores: number, image: ImageName): void {
+  learn(cores: number, image: ImageName, now: Moment): void {
+    if (this.seen > 0) this.gapMs += Math.max(NEWEST, 1 / (this.seen + 1)) * (now - this.lastAt - this.gapMs)
+    this.lastAt = now
     this.recent.push(image)
     if (this.recent.length > RECENT) this.recent.shift()
     const weight = Math.max(NEWEST, 1 / (this.seen + FIRST_WEIGHT))
@@ -29,7 +35,9 @@
     return new Set(this.recent)
   }
   /** One arrival of more than usual size. */
-  reserveCores(): number {
-    return this.mean + Math.sqrt(this.variance)
+  reserveCores(now: Moment): number {
+    // Once they stop coming, there is nothing to keep room for.
+    const overdue = (now - this.lastAt) / Math.max(1, this.gapMs)
+    return overdue > OVERDUE ? 0 : this.mean + Math.sqrt(this.variance)
   }
 }
--- a/packages/controller/src/engine.ts
+++ b/packages/controller/src/engine.ts
@@ -100,13 +100,14 @@
 /** The cloud charges this much at least: an earlier return saves nothing. */
 const LEAST_CHARGE_MS = 60_000
 /** Times `startup_s` after which a machine that hasn't come up is given back. */
-const NEVER_BOOTED = 4
+const NEVER_BOOTED = 2.5
 /** Times `startup_s` after which a boot no longer counts as coming: the design's weak spot, see docs/design.md. */
 const OVERDUE_BOOT = 1.6
 /** After a take-over, time in which the machines' first reports come in. */
 const FIRST_REPORTS_MS = 8_000
 /** How long a lent machine is taken off the borrower's need: until its next word has surely come. */
 const GIVEN_COUNTS_MS = 1_500
+const STATUS_EVERY = 15
 /** Needs told to the other parts: the most urgent ones. */
 const NEEDS_TOLD = 4
 const ATTEMPTS_PER_EPOCH = 2 ** 20
@@ -286,12 +287,16 @@
     for (const type of this.ctx.fleet.catalog()?.values() ?? [])
       soonestBoot = Math.min(soonestBoot, type.startup_s)
     if (within === null || within >= soonestBoot) return
-    this.arrivals.learn(request.pieces * request.cores, request.bundle)
+    this.arrivals.learn(request.pieces * request.cores, request.bundle, this.ctx.time.moment())
     this.reserveRank = Math.max(this.reserveRank, urgencyRank[request.urgency])
   }
 
   private reserve(): Reserve {
-    return { rank: this.reserveRank, cores: this.arrivals.reserveCores(), images: this.arrivals.images() }
+    return {
+      rank: this.reserveRank,
+      cores: this.arrivals.reserveCores(this.ctx.time.moment()),
+      images: this.arrivals.images(),
+    }
   }
 
   private withdraw(job: JobState): void {
@@ -730,7 +735,7 @@
     const share = this.shareOfFleet()
     const reserve = {
       rank: this.reserveRank,
-      cores: this.arrivals.reserveCores(),
+      cores: this.arrivals.reserveCores(this.ctx.time.moment()),
       images: this.arrivals.images(),
     }
     for (const { machine, to } of lend(
@@ -1160,13 +1165,15 @@
       // The same name until it is answered: a lost answer then rents nothing twice.
       for (let tries = 0; tries < 20 && !this.over; tries++) {
         rentedAt = this.ctx.time.wall()
-        const answer = yield* Effect.result(this.ctx.cloud.hire(request))
+        const stillWanted = () => !this.over && !this.ctx.fleet.isRefused(type.name, zone, spot)
+        const answer = yield* Effect.result(this.ctx.cloud.hire(request, stillWanted))
         if (Result.isFailure(answer)) {
           if (answer.failure.status === 400) return
           yield* Effect.sleep(400)
           continue
         }
         const outcome = answer.success
+        if (outcome.kind === "dropped") return
         const got = outcome.kind === "rented" ? outcome.machines : []
         if (got.length < count) this.ctx.fleet.refuse(type.name, zone, spot)
         else this.ctx.fleet.granted(type.name, zone, spot)
@@ -1221,13 +1228,30 @@
     })
   }
 
+  /** Once in a while, for those on call: where this part's room is and what waits for it. */
+  private logStatus(): void {
+    const machines = this.machineViews(this.ctx.time.moment()).map(
+      (m) => `${m.id}:${m.state}:${m.busyTasks}:${m.free.cores}/${m.type.cores}`,
+    )
+    let queued = 0
+    for (const job of this.jobs.values()) queued += job.withdrawn ? 0 : job.queued
+    this.ctx.log.debug("part status", {
+      part: this.part,
+      jobs: this.jobs.size,
+      queued,
+      machines: machines.join(" "),
+    })
+  }
+
   private fleetLoop() {
     return Effect.gen({ self: this }, function* () {
+      let rounds = 0
       for (;;) {
         yield* Effect.sleep(TICK_MS)
         if (this.over) return
         if (!this.active) continue
         this.checkMachines()
+        if (++rounds % STATUS_EVERY === 0) this.logStatus()
         if (this.part === DEADLINE) this.adopt()
       }
     })
--- a/packages/controller/src/fleet.ts
+++ b/packages/controller/src/fleet.ts
@@ -27,7 +27,7 @@
   private types = new Map<TypeName, MachineType>()
   private catalogAt: Moment = NEVER
   private readonly refused = new Map<string, { readonly until: Moment; readonly times: number }>()
-  private readonly asked = new Set<string>()
+  private readonly asked = new Map<string, number>()
   listed = new Map<MachineId, ListedMachine>()
   readonly everListed = new Set<MachineId>()
   /** When the last list was asked for. */
@@ -66,14 +66,20 @@
   granted(type: TypeName, zone: ZoneName, spot: boolean): void {
     this.refused.delete(kindOf(type, zone, spot))
   }
-  asking(type: TypeName, zone: ZoneName, spot: boolean, now: boolean): void {
-    if (now) this.asked.add(kindOf(type, zone, spot))
-    else this.asked.delete(kindOf(type, zone, spot))
+  /** Counts the requests under way of each kind; returns how to end one. */
+  asking(type: TypeName, zone: ZoneName, spot: boolean): () => void {
+    const kind = kindOf(type, zone, spot)
+    this.asked.set(kind, (this.asked.get(kind) ?? 0) + 1)
+    return () => {
+      this.asked.set(kind, (this.asked.get(kind) ?? 1) - 1)
+    }
+  }
+  isRefused(type: TypeName, zone: ZoneName, spot: boolean): boolean {
+    return this.now() < (this.refused.get(kindOf(type, zone, spot))?.until ?? NEVER)
   }
 
   /** Spot counts while it is cheaper than ordinary machines. Kinds refused lately are left out. */
   market(): ReadonlyArray<Hireable> {
-    const now = this.now()
     const ours = new Map<ZoneName, number>()
     for (const m of this.listed.values()) ours.set(m.site, (ours.get(m.site) ?? 0) + 1)
     const out: Array<Hireable> = []
@@ -82,9 +88,16 @@
         for (const spot of [true, false]) {
           const kind = kindOf(type.name, zone, spot)
           if (spot && type.spot_price >= type.hourly) continue
-          if (now < (this.refused.get(kind)?.until ?? NEVER)) continue
+          if (this.isRefused(type.name, zone, spot)) continue
           const price = spot ? type.spot_price : type.hourly
-          out.push({ type, zone, spot, price, asked: this.asked.has(kind), ours: ours.get(zone) ?? 0 })
+          out.push({
+            type,
+            zone,
+            spot,
+            price,
+            asked: (this.asked.get(kind) ?? 0) > 0,
+            ours: ours.get(zone) ?? 0,
+          })
         }
       }
     }
