--- a/packages/controller/src/engine.ts
+++ b/packages/controller/src/engine.ts
@@ -1151,10 +1151,15 @@
     const most = this.ctx.platform.facts.state.txn_ops - 1
     const hire: PlannedHire = { ...wanted, count: Math.min(wanted.count, most) }
     const name = this.ctx.nextHire()
+    const { type, zone, spot } = hire.hireable
+    const answered = this.ctx.fleet.asking(type.name, zone, spot)
     this.hiring.set(name, hire)
-    this.ctx.fork(
-      this.carryOutHire(name, hire).pipe(Effect.ensuring(Effect.sync(() => this.hiring.delete(name)))),
-    )
+    const settled = Effect.sync(() => {
+      answered()
+      this.hiring.delete(name)
+      this.planSignal.notify()
+    })
+    this.ctx.fork(Effect.ensuring(this.carryOutHire(name, hire), settled))
   }
 
   private carryOutHire(name: HireName, { hireable, count, holder }: PlannedHire) {
