--- /dev/null
+++ b/packages/api/test/users.test.ts
@@ -0,0 +1,187 @@
+import assert from "node:assert/strict"
+import { test } from "node:test"
+import { defaultOperators, type Platform } from "@sorreltally/settings"
+import { type StateClient, StateTrouble } from "@sorreltally/state"
+import type { MachineType, Moment, Outgoing, TypeName, WallTime } from "@sorreltally/wire"
+import { Effect } from "effect"
+import { Limiter } from "../src/limiter.ts"
+import { Api } from "../src/users.ts"
+
+const good = {
+  id: "run-000412",
+  lane: "train",
+  owner: "vision",
+  shape: "batch",
+  urgency: "high",
+  pieces: 4,
+  cores: 8,
+  accelerators: 0,
+  mem_gb: 16,
+  bundle: "img-07",
+  image_gb: 6.2,
+  builds: null,
+  together: true,
+  scatter: false,
+  loaners: true,
+  expected_s: 240,
+  snapshot_s: 30,
+  flush_s: 4,
+  due_s: 900,
+}
+
+const harness = (options: { readonly catalog?: boolean; readonly down?: boolean } = {}) => {
+  const keys = new Map<string, { v: unknown; stamp: number }>()
+  let epoch = 0
+  const trouble = Effect.fail(new StateTrouble({ outcome: "refused", status: 503 }))
+  const state = {
+    get: (path: string) =>
+      options.down === true
+        ? trouble
+        : Effect.sync(() => (keys.has(path) ? { path, ...keys.get(path)! } : null)),
+    multi: (when: Array<{ path: string; stamp: number }>, apply: Array<{ set: string; v: unknown }>) =>
+      options.down === true
+        ? trouble
+        : Effect.sync(() => {
+            const failed = when.filter((c) => (keys.get(c.path)?.stamp ?? 0) !== c.stamp).map((c) => c.path)
+            if (failed.length > 0) return { ok: false, failed }
+            epoch++
+            for (const change of apply) keys.set(change.set, { v: change.v, stamp: epoch })
+            return { ok: true, epoch }
+          }),
+  } as unknown as StateClient
+  const platform = {
+    facts: {
+      zones: ["a"],
+      teams: [{ name: "vision", cpus: 16, cpus_max: 32, gpus: 0, gpus_max: 0 }],
+      state: { value_kb: 4 },
+    },
+  } as unknown as Platform
+  const type = { name: "g8", cores: 16, accelerators: 0, mem_gb: 64, sites: ["a"] } as unknown as MachineType
+  const desk = {
+    ready: () => true,
+    catalog: () => (options.catalog === false ? null : new Map([["g8" as TypeName, type]])),
+    jobChanged: () => Effect.void,
+    counts: () => Effect.succeed({ done: 1, running: 2 }),
+    report: () => Effect.succeed({ status: 200, body: {} }),
+  }
+  const time = { moment: () => performance.now() as Moment, wall: () => Date.now() as WallTime }
+  const api = new Api(platform, defaultOperators(), state, desk, time)
+  const ask = (method: string, path: string, body: unknown = ""): Promise<Outgoing> =>
+    Effect.runPromise(
+      api.handle({ method, path, body: typeof body === "string" ? body : JSON.stringify(body) }),
+    )
+  return { ask, keys, submit: (body: unknown) => ask("POST", "/v1/jobs", body) }
+}
+const status = async (answer: Promise<Outgoing>) => (await answer).status
+
+test("a good submission is accepted once and known ever after", async () => {
+  const { ask, submit } = harness()
+  assert.deepEqual(await submit({ ...good, colour: "unknown fields are ignored" }), {
+    status: 201,
+    body: { id: good.id, status: "queued" },
+  })
+  assert.equal(await status(submit(good)), 200)
+  // What we would refuse today was accepted before: that stands.
+  assert.equal(await status(submit({ ...good, owner: "nobody" })), 200)
+  assert.deepEqual((await ask("GET", `/v1/jobs/${good.id}`)).body, {
+    id: good.id,
+    status: "running",
+    done: 1,
+    running: 2,
+  })
+})
+
+test("malformed submissions get 400", async () => {
+  const { submit } = harness()
+  for (const bad of [
+    "{",
+    "[]",
+    "3",
+    "null",
+    {},
+    { ...good, id: "job-1" },
+    { ...good, id: 7 },
+    { ...good, pieces: 0 },
+  ]) {
+    assert.equal(await status(submit(bad)), 400, JSON.stringify(bad))
+  }
+  for (const field of ["lane", "owner", "shape", "cores", "together", "expected_s", "image_gb", "urgency"]) {
+    const { [field as keyof typeof good]: _, ...rest } = good
+    assert.equal(await status(submit(rest)), 400, `without ${field}`)
+  }
+  for (const wrong of [
+    { pieces: 1.5 },
+    { pieces: 100_001 },
+    { shape: "other" },
+    { urgency: "now" },
+    { cores: "8" },
+  ]) {
+    assert.equal(await status(submit({ ...good, ...wrong })), 400, JSON.stringify(wrong))
+  }
+})
+
+test("what can never run gets 422", async () => {
+  const { submit } = harness()
+  const never = [
+    { owner: "nobody" },
+    { cores: 17 },
+    { builds: ["g9"] },
+    { site: "b" },
+    { cores: 33 },
+    { accelerators: 1 },
+  ]
+  for (const wrong of never)
+    assert.equal(await status(submit({ ...good, ...wrong })), 422, JSON.stringify(wrong))
+})
+
+test("what can't be decided now gets 503 with a time to come back, at once", async () => {
+  const unknownTypes = await harness({ catalog: false }).submit(good)
+  assert.equal(unknownTypes.status, 503)
+  assert.ok((unknownTypes.retryAfterS ?? 0) > 0)
+  const down = harness({ down: true })
+  const refused = await down.submit(good)
+  assert.equal(refused.status, 503)
+  assert.ok((refused.retryAfterS ?? 0) > 0)
+  assert.equal(await status(down.ask("GET", `/v1/jobs/${good.id}`)), 503)
+})
+
+test("unknown jobs, paths and methods", async () => {
+  const { ask } = harness()
+  assert.equal(await status(ask("GET", "/v1/jobs/run-999999")), 404)
+  assert.equal(await status(ask("POST", "/v1/jobs/run-999999/cancel")), 404)
+  assert.equal(await status(ask("GET", "/v1/jobs/nonsense")), 404)
+  assert.equal(await status(ask("GET", "/v2")), 404)
+  assert.equal(await status(ask("GET", "/v1/jobs")), 405)
+  assert.equal(await status(ask("DELETE", "/v1/jobs/run-000412")), 405)
+  assert.equal(await status(ask("GET", "/ready")), 200)
+})
+
+test("a cancelled job stays cancelled; a done one is answered done", async () => {
+  const { ask, keys, submit } = harness()
+  await submit(good)
+  assert.deepEqual((await ask("POST", `/v1/jobs/${good.id}/cancel`)).body, {
+    id: good.id,
+    status: "withdrawn",
+  })
+  assert.deepEqual((await submit(good)).body, { id: good.id, status: "withdrawn" })
+  keys.set("final/run-000500", { v: { status: "done" }, stamp: 9 })
+  assert.deepEqual((await ask("POST", "/v1/jobs/run-000500/cancel")).body, {
+    id: "run-000500",
+    status: "done",
+  })
+})
+
+test("the limit on requests in progress follows measured times", () => {
+  const limiter = new Limiter({ least: 4, most: 64 })
+  const work = (ms: number, rounds: number) => {
+    for (let i = 0; i < rounds; i++) limiter.enter(0 as Moment)?.(ms as Moment)
+  }
+  work(10, 200)
+  const calm = limiter.current
+  assert.ok(calm > 30, `grown to ${calm}`)
+  work(400, 20)
+  assert.ok(limiter.current < calm / 2, `shrunk to ${limiter.current}`)
+  const held = Array.from({ length: 100 }, () => limiter.enter(0 as Moment)).filter((leave) => leave !== null)
+  assert.ok(held.length === limiter.current || held.length === limiter.current + 1, `${held.length} let in`)
+  assert.equal(limiter.enter(0 as Moment), null)
+})
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -13,7 +13,7 @@
 } from "@sorreltally/wire"
 import { Effect, Random, Result } from "effect"
 import { Mirror } from "./mirror.ts"
-import { allParts, homeOf, preferredOwner } from "./parts.ts"
+import { allParts, DEADLINE, homeOf, preferredOwner } from "./parts.ts"
 
 export interface MembershipSettings {
   readonly self: NodeName
@@ -36,6 +36,10 @@
 /** How long a part that never had an owner waits for the node it is meant for. */
 const FIRST_START_MS = 4_000
 
+/** How long a node has to be back before it gets a part back, and the pause between two. */
+const BACK_FOR_MS = 15_000
+const HOME_SPACING_MS = 5_000
+
 interface Standing {
   readonly incarnation: Incarnation
   readonly grant: GrantId
@@ -54,6 +58,11 @@
   private grantUntil: Moment = NEVER
   private freshUntil: Moment = NEVER
   private readonly owned = new Map<PartName, Stamp>()
+  private readonly aliveSince = new Map<
+    NodeName,
+    { readonly incarnation: Incarnation | null; readonly at: Moment }
+  >()
+  private lastSentHome: Moment = NEVER
   private readonly orphanSince = new Map<PartName, Moment>()
 
   constructor(
@@ -205,12 +214,48 @@
           for (const part of this.parts) {
             if (this.wants(part)) yield* this.takeOver(part)
           }
+          yield* this.sendHome()
         }
         yield* Effect.sleep(250)
       }
     })
   }
 
+  /**
+   * A node that is back for a while gets its part back, one part at a time: a
+   * node that took over several does all their work, and all their calls.
+   */
+  private sendHome() {
+    return Effect.gen({ self: this }, function* () {
+      const { self, nodes } = this.settings
+      const now = this.now()
+      for (const node of nodes) {
+        const incarnation = this.mirror.get<LiveRecord>(keys.live(node))?.v.incarnation ?? null
+        const known = this.aliveSince.get(node)
+        if (known === undefined || known.incarnation !== incarnation)
+          this.aliveSince.set(node, { incarnation, at: now })
+      }
+      if (now < later(this.lastSentHome, HOME_SPACING_MS)) return
+      for (const [part, epoch] of this.owned) {
+        const home = homeOf(part, nodes)
+        // The leader stays where it is: its move would be felt by every deadline.
+        if (part === DEADLINE || home === null || home === self) continue
+        const since = this.aliveSince.get(home)
+        if (since === undefined || since.incarnation === null || now < later(since.at, BACK_FOR_MS)) continue
+        this.lastSentHome = now
+        this.drop(part, `sent home to ${home}`)
+        const record: PartRecord = { owner: null, incarnation: null }
+        const path = keys.part(part)
+        const done = yield* Effect.result(
+          this.state.multi([{ path, stamp: epoch }], [{ set: path, v: record }], 0),
+        )
+        if (Result.isSuccess(done) && done.success.ok)
+          this.mirror.hint({ path, v: record, stamp: done.success.epoch })
+        return
+      }
+    })
+  }
+
   private wants(part: PartName): boolean {
     const { self, nodes } = this.settings
     if (this.owned.has(part)) return false
