--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,4 +1,4 @@
-// Bundles the daemon (and, with --tests, the tests) into target/. One file per
+// Bundles the daemon, or with --tests the tests, into target/. One file per
 // program: a controller starts on a third of a core, where reading hundreds of
 // small modules is the larger part of start-up.
 import { readdirSync } from "node:fs"
@@ -19,8 +19,9 @@
     js: 'import { createRequire as __cr } from "node:module"; const require = __cr(import.meta.url);',
   },
 }
-await build({ ...common, entryPoints: ["packages/daemon/src/main.ts"], outfile: "target/main.js" })
-if (process.argv.includes("--tests")) {
+if (!process.argv.includes("--tests")) {
+  await build({ ...common, entryPoints: ["packages/daemon/src/main.ts"], outfile: "target/main.js" })
+} else {
   const tests = readdirSync(`${root}packages`).flatMap((p) => {
     try {
       return readdirSync(`${root}packages/${p}/test`)
