--- a/packages/settings/src/operators.ts
+++ b/packages/settings/src/operators.ts
@@ -26,7 +26,7 @@
       40,
       0,
       3_600,
-      "time from a rental until tasks can run, until boots have been measured",
+      "time from a rental until tasks can run",
     ),
     "dearest-steady": knob(
       6,
