--- a/packages/settings/src/operators.ts
+++ b/packages/settings/src/operators.ts
@@ -29,7 +29,7 @@
       "time from a rental until tasks can run",
     ),
     "dearest-steady": knob(
-      6,
+      10,
       1,
       1_000,
       "a steady machine is rented while it costs at most this many times the cheapest kind for the same work",
