--- a/packages/controller/src/engine.ts
+++ b/packages/controller/src/engine.ts
@@ -769,7 +769,7 @@
         shape: shapeOf(job.request),
         rank: job.rank,
         tasks,
-        pressing: pressing,
+        pressing: job.withinGuarantee ? pressing : 0,
       })),
       quotas: this.quotaNeeds(jobs, teams),
     })
@@ -926,7 +926,7 @@
     for (const { job, tasks, pressing } of own) {
       // Work that can save gives way to any of higher rank; other work is given
       // up only where it has to be, and only for what a team is guaranteed.
-      const forced = pressing
+      const forced = job.withinGuarantee ? pressing : 0
       let missing = tasks
       for (const view of soon) {
         if (missing <= 0) break
