--- a/packages/controller/src/controller.ts
+++ b/packages/controller/src/controller.ts
@@ -26,7 +26,8 @@
 } from "@sorreltally/wire"
 import type { Introduction } from "@sorreltally/workers"
 import { Cause, Effect, Fiber, Result } from "effect"
-import { type EngineContext, PartEngine } from "./engine.ts"
+import type { EngineContext } from "./context.ts"
+import { PartEngine } from "./engine.ts"
 import { Estimates } from "./estimates.ts"
 import { Fleet } from "./fleet.ts"
 
--- a/packages/controller/src/engine.ts
+++ b/packages/controller/src/engine.ts
@@ -1,30 +1,21 @@
-import type { CloudClient } from "@sorreltally/cloud"
 import { JobState, type Placement } from "@sorreltally/jobs"
-import { DEADLINE, type Membership, partOf } from "@sorreltally/membership"
+import { DEADLINE, partOf } from "@sorreltally/membership"
 import {
   allowed,
-  choosePreemptions,
   goesFirst,
   isReserved,
-  type JobView,
   lend,
-  type MachineView,
-  minus,
   type Need,
   type Plan,
   type PlannedHire,
   plan,
   type QuotaNeed,
   type Reserve,
-  type RunningTask,
   shapeOf,
   slotsIn,
   spareCores,
   type TeamRoom,
-  type Victim,
-  type Wants,
 } from "@sorreltally/planner"
-import type { Operators, Platform } from "@sorreltally/settings"
 import {
   type Change,
   type ChunkRecord,
@@ -34,17 +25,14 @@
   type JobRecord,
   keys,
   type MachineRecord,
-  type StateClient,
 } from "@sorreltally/state"
 import {
   ABSENT,
   type Attempt,
   decodeReport,
-  type Exchange,
   type HireName,
   type JobId,
   type JobRequest,
-  type Log,
   later,
   type MachineId,
   type Moment,
@@ -56,40 +44,17 @@
   splitTaskId,
   type TaskId,
   type TeamName,
-  type Timekeeper,
   taskId,
   urgencyRank,
-  type ZoneName,
 } from "@sorreltally/wire"
 import { type Introduction, type Outcome, WorkerSession } from "@sorreltally/workers"
 import { Effect, Result } from "effect"
 import { Arrivals } from "./arrivals.ts"
-import type { Estimates } from "./estimates.ts"
-import type { Fleet } from "./fleet.ts"
+import type { EngineContext, PartView, Tenancy } from "./context.ts"
+import { preempt } from "./preempt.ts"
 import { Shares } from "./shares.ts"
 import { Signal } from "./signal.ts"
-
-export interface EngineContext {
-  readonly platform: Platform
-  readonly operators: Operators
-  readonly nodes: number
-  readonly state: StateClient
-  readonly cloud: CloudClient
-  readonly exchange: Exchange["Service"]
-  readonly membership: Membership
-  readonly fleet: Fleet
-  readonly estimates: Estimates
-  readonly time: Timekeeper
-  readonly log: Log
-  readonly nextHire: () => HireName
-  /** What other parts lack, as far as we have heard. */
-  readonly wants: (except: PartName) => Wants
-  readonly publish: (part: PartName, wants: Wants) => void
-  /** Tells a machine's new owner of it before the watch does. */
-  readonly introduce: (to: PartName, entry: Entry, by: Introduction | null) => void
-  /** Runs an effect beside the engine's loops, for as long as the engine lives. */
-  readonly fork: (effect: Effect.Effect<unknown>) => void
-}
+import { jobViews, machineViews, quotaNeeds, runningTasks, startWithin, teamUse } from "./views.ts"
 
 const PLAN_SPACING_MS = 60
 const TICK_MS = 1_000
@@ -101,10 +66,6 @@
 const LEAST_CHARGE_MS = 60_000
 /** Times `startup_s` after which a machine that hasn't come up is given back. */
 const NEVER_BOOTED = 2.5
-/** Times `startup_s` after which a boot no longer counts as coming: the design's weak spot, see docs/design.md. */
-const OVERDUE_BOOT = 1.6
-/** After a take-over, time in which the machines' first reports come in. */
-const FIRST_REPORTS_MS = 8_000
 /** How long a lent machine is taken off the borrower's need: until its next word has surely come. */
 const GIVEN_COUNTS_MS = 1_500
 const STATUS_EVERY = 15
@@ -114,28 +75,16 @@
 /** A listed machine that no record knows may still be another node's rental under way. */
 const ADOPT_AFTER_S = 10
 
-interface Tenancy {
-  holder: JobId | null
-  /** When it was rented, by our clock. */
-  readonly rentedAt: Moment
-  readonly knownSince: Moment
-  returning: boolean
-  /** A steady machine that finishes what it has and is then given back. */
-  closing: boolean
-  /** On its way to another part. */
-  moving: boolean
-}
-
 /**
  * Everything one part's owner does: its jobs, its machines, and the loops
  * that bring what is closer to what is wanted. Lives from a take-over until
  * the part is lost.
  */
-export class PartEngine {
+export class PartEngine implements PartView {
   readonly jobs = new Map<JobId, JobState>()
-  private readonly machines = new Map<MachineId, WorkerSession>()
-  private readonly tenancies = new Map<MachineId, Tenancy>()
-  private readonly hiring = new Map<HireName, PlannedHire>()
+  readonly machines = new Map<MachineId, WorkerSession>()
+  readonly tenancies = new Map<MachineId, Tenancy>()
+  readonly hiring = new Map<HireName, PlannedHire>()
   private readonly holderOf = new Map<MachineId, JobId>()
   private readonly fencing = new Set<MachineId>()
   private readonly adopting = new Set<MachineId>()
@@ -159,7 +108,7 @@
   constructor(
     readonly part: PartName,
     readonly epoch: Stamp,
-    private readonly ctx: EngineContext,
+    readonly ctx: EngineContext,
   ) {
     this.shares = new Shares(
       part,
@@ -282,7 +231,7 @@
   }
 
   private arrived(request: JobRequest): void {
-    const within = this.startWithin(request.lane, request.expected_s)
+    const within = startWithin(this, request.lane, request.expected_s)
     let soonestBoot = Number.POSITIVE_INFINITY
     for (const type of this.ctx.fleet.catalog()?.values() ?? [])
       soonestBoot = Math.min(soonestBoot, type.startup_s)
@@ -709,21 +658,9 @@
     }
   }
 
-  private teamUse(): Map<TeamName, TeamRoom> {
-    const used = new Map<TeamName, TeamRoom>()
-    for (const team of this.ctx.platform.facts.teams) used.set(team.name, { cores: 0, accelerators: 0 })
-    for (const job of this.jobs.values()) {
-      const u = used.get(job.request.owner)
-      if (u === undefined) continue
-      u.cores += job.request.cores * job.placements.size
-      u.accelerators += job.request.accelerators * job.placements.size
-    }
-    return used
-  }
-
   private planOnce(): void {
     const now = this.ctx.time.moment()
-    const used = this.teamUse()
+    const used = teamUse(this)
     const { needs, quotas } = this.ctx.wants(this.part)
     this.adjustShares(used, quotas)
     const teams = new Map<TeamName, TeamRoom>()
@@ -731,7 +668,7 @@
       const share = this.shares.share(team)
       teams.set(team, { cores: share.cpus - u.cores, accelerators: share.gpus - u.accelerators })
     }
-    const jobs = this.jobViews(now)
+    const jobs = jobViews(this, now)
     const share = this.shareOfFleet()
     const reserve = {
       rank: this.reserveRank,
@@ -739,7 +676,7 @@
       images: this.arrivals.images(),
     }
     for (const { machine, to } of lend(
-      this.machineViews(now),
+      machineViews(this, now),
       jobs,
       needs,
       share,
@@ -750,19 +687,19 @@
     }
     const decided = plan({
       jobs,
-      machines: this.machineViews(now),
+      machines: machineViews(this, now),
       teams,
       types: [...(this.ctx.fleet.catalog()?.values() ?? [])],
       dearestSteady: this.ctx.operators.provisioning["dearest-steady"],
       reserve,
-      running: this.runningTasks(now),
+      running: runningTasks(this, now),
       market: this.ctx.fleet.market(),
       deploymentS: this.ctx.operators.provisioning["deployment-s"],
     })
     this.carryOut(decided, now)
     this.steadyWanted = decided.steadyWanted
     if (decided.steadyWanted) for (const tenancy of this.tenancies.values()) tenancy.closing = false
-    this.preempt(decided, needs, share, this.given(now), now)
+    preempt(this, decided, needs, share, this.given(now), now)
     this.ctx.publish(this.part, {
       needs: decided.unplaced.slice(0, NEEDS_TOLD).map(({ job, tasks, pressing }) => ({
         part: this.part,
@@ -771,42 +708,10 @@
         tasks,
         pressing: job.withinGuarantee ? pressing : 0,
       })),
-      quotas: this.quotaNeeds(jobs, teams),
+      quotas: quotaNeeds(this, jobs, teams),
     })
   }
 
-  /** Teams whose share here keeps queued tasks from starting. */
-  private quotaNeeds(
-    jobs: ReadonlyArray<JobView>,
-    teams: ReadonlyMap<TeamName, TeamRoom>,
-  ): ReadonlyArray<QuotaNeed> {
-    const out = new Map<TeamName, QuotaNeed>()
-    for (const { id, request, queued, rank } of jobs) {
-      const room = teams.get(request.owner)
-      if (queued === 0 || room === undefined) continue
-      if (slotsIn(request, { ...room, mem_gb: Number.POSITIVE_INFINITY }) >= queued) continue
-      const since = this.jobs.get(id)?.submitted ?? 0
-      const need: QuotaNeed = { part: this.part, team: request.owner, rank, since }
-      const before = out.get(request.owner)
-      if (before === undefined || goesFirst(need, before)) out.set(request.owner, need)
-    }
-    return [...out.values()]
-  }
-
-  private runningTasks(now: Moment): ReadonlyArray<RunningTask> {
-    const tasks: Array<RunningTask> = []
-    for (const session of this.machines.values()) {
-      for (const { job, runningSince } of session.placements.values()) {
-        const executionS = this.ctx.estimates.executionS(job.request)
-        const ranS = runningSince === null ? 0 : (now - runningSince) / 1000
-        // One that overran its estimate may end at any time, or much later.
-        const remainingS = ranS < executionS ? executionS - ranS : executionS / 3
-        tasks.push({ cores: job.request.cores, remainingS })
-      }
-    }
-    return tasks
-  }
-
   /** How much of the machines that could be lent to somebody is ours to lend. */
   private shareOfFleet(): number {
     let all = 0
@@ -878,108 +783,6 @@
     this.planSignal.notify()
   }
 
-  /** Stops work of lower rank where work of higher rank would otherwise come too late. */
-  private preempt(
-    decided: Plan,
-    needs: ReadonlyArray<Need>,
-    share: number,
-    given: ReadonlyMap<PartName, number>,
-    now: Moment,
-  ): void {
-    const foreign = needs.filter((n) => n.pressing > 0 && !n.shape.together && !n.shape.scatter)
-    const own = decided.unplaced.filter(({ job }) => !job.request.together && !job.request.scatter)
-    if (foreign.length === 0 && own.length === 0) return
-    const victims: Array<Victim<Placement>> = []
-    // What is being stopped already is as good as gone.
-    const soon = this.machineViews(now).map((view) => {
-      let { free, busyTasks } = view
-      for (const placement of this.machines.get(view.id)?.placements.values() ?? []) {
-        const { request } = placement.job
-        if (placement.stop !== null) {
-          busyTasks--
-          free = minus(free, request, -1)
-          continue
-        }
-        const saves = request.snapshot_s > 0
-        const ranS = placement.runningSince === null ? 0 : (now - placement.runningSince) / 1000
-        victims.push({
-          placement,
-          machine: view.id,
-          shape: shapeOf(request),
-          rank: urgencyRank[request.urgency],
-          lossCoreS: (saves ? Math.min(ranS, request.flush_s) : ranS) * request.cores,
-          savesS: saves ? request.flush_s : 0,
-        })
-      }
-      return { ...view, free, busyTasks }
-    })
-    const stopped = new Set<Placement>()
-    const stopAll = (chosen: ReadonlyArray<Victim<Placement>>) => {
-      for (const { placement, savesS } of chosen) {
-        stopped.add(placement)
-        placement.stop = { why: "preempted", leewayS: savesS + 1, since: now }
-        this.ctx.log.debug("task preempted", { task: placement.task, machine: placement.machine })
-      }
-    }
-    const left = (usable: (v: Victim<Placement>) => boolean) =>
-      victims.filter((v) => !stopped.has(v.placement) && usable(v))
-    for (const { job, tasks, pressing } of own) {
-      // Work that can save gives way to any of higher rank; other work is given
-      // up only where it has to be, and only for what a team is guaranteed.
-      const forced = job.withinGuarantee ? pressing : 0
-      let missing = tasks
-      for (const view of soon) {
-        if (missing <= 0) break
-        if (view.state !== "up" || !allowed(job.request, view)) continue
-        const take = Math.min(missing, slotsIn(job.request, view.free))
-        view.free = minus(view.free, job.request, take)
-        missing -= take
-      }
-      if (missing <= 0) continue
-      const shape = shapeOf(job.request)
-      const saving = choosePreemptions(
-        shape,
-        job.rank,
-        missing,
-        soon,
-        left((v) => v.savesS > 0),
-        false,
-      )
-      if (saving.length > 0) stopAll(saving)
-      else if (forced > 0) {
-        stopAll(
-          choosePreemptions(
-            shape,
-            job.rank,
-            Math.min(missing, forced),
-            soon,
-            left(() => true),
-            false,
-          ),
-        )
-      }
-    }
-    for (const need of foreign) {
-      let missing = Math.ceil(need.pressing * share) - (given.get(need.part) ?? 0)
-      for (const view of soon) {
-        if (view.state === "up" && view.busyTasks === 0 && allowed(need.shape, view)) {
-          missing -= slotsIn(need.shape, view.type)
-        }
-      }
-      if (missing <= 0) continue
-      stopAll(
-        choosePreemptions(
-          need.shape,
-          need.rank,
-          missing,
-          soon,
-          left(() => true),
-          true,
-        ),
-      )
-    }
-  }
-
   private adjustShares(used: ReadonlyMap<TeamName, TeamRoom>, quotas: ReadonlyArray<QuotaNeed>): void {
     const changes = this.shares.adjust((team) => {
       const u = used.get(team) ?? { cores: 0, accelerators: 0 }
@@ -1008,110 +811,6 @@
     for (const change of changes) this.ctx.fork(change)
   }
 
-  private jobViews(now: Moment): ReadonlyArray<JobView> {
-    const wall = this.ctx.time.wall()
-    const ahead = new Map<TeamName, number>()
-    const views: Array<JobView> = []
-    const bySubmission = [...this.jobs.values()].sort((a, b) => a.submitted - b.submitted)
-    for (const job of bySubmission) {
-      if (job.withdrawn || job.complete) continue
-      const { request } = job
-      const team = this.ctx.platform.facts.teams.find((t) => t.name === request.owner)
-      const demand = (ahead.get(request.owner) ?? 0) + (job.pieces - job.done) * request.cores
-      ahead.set(request.owner, demand)
-      const ageS = Math.max(0, (wall - job.submitted) / 1000)
-      const executionS = this.ctx.estimates.executionS(request)
-      const zones = new Map<ZoneName, number>()
-      let running = 0
-      for (const placement of job.placements.values()) {
-        const zone = this.machines.get(placement.machine)?.record.site
-        if (zone !== undefined) zones.set(zone, (zones.get(zone) ?? 0) + 1)
-        if (placement.stop === null) running++
-      }
-      views.push({
-        id: job.id,
-        request,
-        rank: urgencyRank[request.urgency],
-        queued: job.queued,
-        running,
-        zones,
-        timeLeftS: request.due_s == null ? null : request.due_s - ageS,
-        ageS,
-        executionS,
-        startWithinS: this.startWithin(request.lane, executionS),
-        withinGuarantee: team !== undefined && demand <= team.cpus,
-        mayStart: job.notBefore === null || now >= job.notBefore,
-      })
-    }
-    return views
-  }
-
-  private startWithin(lane: string, executionS: number): number | null {
-    let within: number | null = null
-    for (const objective of this.ctx.platform.facts.objectives) {
-      if (objective.class !== lane || objective.within_s == null) continue
-      const start = objective.kind === "finished" ? objective.within_s - executionS : objective.within_s
-      if (objective.kind === "wait" || objective.kind === "finished")
-        within = Math.min(within ?? start, start)
-    }
-    return within
-  }
-
-  private machineViews(now: Moment): ReadonlyArray<MachineView> {
-    const views: Array<MachineView> = []
-    for (const session of this.machines.values()) {
-      const tenancy = this.tenancies.get(session.id)!
-      const { type, record } = session
-      let { cores, accelerators, mem_gb } = type
-      for (const { job } of session.placements.values()) {
-        cores -= job.request.cores
-        accelerators -= job.request.accelerators
-        mem_gb -= job.request.mem_gb
-      }
-      const bootingS = (now - tenancy.rentedAt) / 1000
-      const state =
-        tenancy.returning || tenancy.moving || session.warningUntil !== null
-          ? "away"
-          : session.usable(now)
-            ? tenancy.closing
-              ? "closing"
-              : "up"
-            : session.lastHeard === NEVER &&
-                (bootingS < type.startup_s * OVERDUE_BOOT ||
-                  now < later(tenancy.knownSince, FIRST_REPORTS_MS))
-              ? "coming"
-              : "away"
-      views.push({
-        id: session.id,
-        type,
-        zone: record.site,
-        spot: record.loaners,
-        free: { cores, accelerators, mem_gb },
-        busyTasks: session.placements.size,
-        images: new Set(session.images.keys()),
-        state,
-        holder: tenancy.holder,
-      })
-    }
-    for (const [name, hire] of this.hiring) {
-      for (let i = 0; i < hire.count; i++) {
-        const { type, zone, spot } = hire.hireable
-        views.push({
-          id: `${name}/${i}` as MachineId,
-          type,
-          zone,
-          spot,
-          free: type,
-          busyTasks: 0,
-          images: new Set(),
-          state: "coming",
-          holder: hire.holder,
-        })
-      }
-    }
-    return views
-  }
-
   private carryOut(decided: Plan, now: Moment): void {
     for (const { job: id, machine } of decided.placements) {
       const job = this.jobs.get(id)
@@ -1235,7 +934,7 @@
 
   /** Once in a while, for those on call: where this part's room is and what waits for it. */
   private logStatus(): void {
-    const machines = this.machineViews(this.ctx.time.moment()).map(
+    const machines = machineViews(this, this.ctx.time.moment()).map(
       (m) => `${m.id}:${m.state}:${m.busyTasks}:${m.free.cores}/${m.type.cores}`,
     )
     let queued = 0
@@ -1309,7 +1008,7 @@
   /** Without it, less room than the reserve would be left beside the reserve's images. */
   private inReserve(session: WorkerSession, now: Moment): boolean {
     const reserve = this.reserve()
-    const views = this.machineViews(now)
+    const views = machineViews(this, now)
     const view = views.find((v) => v.id === session.id)
     if (view === undefined || !isReserved(view, reserve)) return false
     const rooms = views.map((machine) => ({ machine, free: machine.free }))
--- /dev/null
+++ b/packages/controller/src/preempt.ts
@@ -0,0 +1,117 @@
+import type { Placement } from "@sorreltally/jobs"
+import {
+  allowed,
+  choosePreemptions,
+  minus,
+  type Need,
+  type Plan,
+  shapeOf,
+  slotsIn,
+  type Victim,
+} from "@sorreltally/planner"
+import { type Moment, type PartName, urgencyRank } from "@sorreltally/wire"
+import type { PartView } from "./context.ts"
+import { machineViews } from "./views.ts"
+
+/** Stops work of lower rank where work of higher rank would otherwise come too late. */
+export const preempt = (
+  part: PartView,
+  decided: Plan,
+  needs: ReadonlyArray<Need>,
+  share: number,
+  given: ReadonlyMap<PartName, number>,
+  now: Moment,
+): void => {
+  const foreign = needs.filter((n) => n.pressing > 0 && !n.shape.together && !n.shape.scatter)
+  const own = decided.unplaced.filter(({ job }) => !job.request.together && !job.request.scatter)
+  if (foreign.length === 0 && own.length === 0) return
+  const victims: Array<Victim<Placement>> = []
+  // What is being stopped already is as good as gone.
+  const soon = machineViews(part, now).map((view) => {
+    let { free, busyTasks } = view
+    for (const placement of part.machines.get(view.id)?.placements.values() ?? []) {
+      const { request } = placement.job
+      if (placement.stop !== null) {
+        busyTasks--
+        free = minus(free, request, -1)
+        continue
+      }
+      const saves = request.snapshot_s > 0
+      const ranS = placement.runningSince === null ? 0 : (now - placement.runningSince) / 1000
+      victims.push({
+        placement,
+        machine: view.id,
+        shape: shapeOf(request),
+        rank: urgencyRank[request.urgency],
+        lossCoreS: (saves ? Math.min(ranS, request.flush_s) : ranS) * request.cores,
+        savesS: saves ? request.flush_s : 0,
+      })
+    }
+    return { ...view, free, busyTasks }
+  })
+  const stopped = new Set<Placement>()
+  const stopAll = (chosen: ReadonlyArray<Victim<Placement>>) => {
+    for (const { placement, savesS } of chosen) {
+      stopped.add(placement)
+      placement.stop = { why: "preempted", leewayS: savesS + 1, since: now }
+      part.ctx.log.debug("task preempted", { task: placement.task, machine: placement.machine })
+    }
+  }
+  const left = (usable: (v: Victim<Placement>) => boolean) =>
+    victims.filter((v) => !stopped.has(v.placement) && usable(v))
+  for (const { job, tasks, pressing } of own) {
+    // Work that can save gives way to any of higher rank; other work is given
+    // up only where it has to be, and only for what a team is guaranteed.
+    const forced = job.withinGuarantee ? pressing : 0
+    let missing = tasks
+    for (const view of soon) {
+      if (missing <= 0) break
+      if (view.state !== "up" || !allowed(job.request, view)) continue
+      const take = Math.min(missing, slotsIn(job.request, view.free))
+      view.free = minus(view.free, job.request, take)
+      missing -= take
+    }
+    if (missing <= 0) continue
+    const shape = shapeOf(job.request)
+    const saving = choosePreemptions(
+      shape,
+      job.rank,
+      missing,
+      soon,
+      left((v) => v.savesS > 0),
+      false,
+    )
+    if (saving.length > 0) stopAll(saving)
+    else if (forced > 0) {
+      stopAll(
+        choosePreemptions(
+          shape,
+          job.rank,
+          Math.min(missing, forced),
+          soon,
+          left(() => true),
+          false,
+        ),
+      )
+    }
+  }
+  for (const need of foreign) {
+    let missing = Math.ceil(need.pressing * share) - (given.get(need.part) ?? 0)
+    for (const view of soon) {
+      if (view.state === "up" && view.busyTasks === 0 && allowed(need.shape, view)) {
+        missing -= slotsIn(need.shape, view.type)
+      }
+    }
+    if (missing <= 0) continue
+    stopAll(
+      choosePreemptions(
+        need.shape,
+        need.rank,
+        missing,
+        soon,
+        left(() => true),
+        true,
+      ),
+    )
+  }
+}
--- /dev/null
+++ b/packages/controller/src/views.ts
@@ -0,0 +1,171 @@
+import {
+  goesFirst,
+  type JobView,
+  type MachineView,
+  type QuotaNeed,
+  type RunningTask,
+  slotsIn,
+  type TeamRoom,
+} from "@sorreltally/planner"
+import {
+  later,
+  type MachineId,
+  type Moment,
+  NEVER,
+  type TeamName,
+  urgencyRank,
+  type ZoneName,
+} from "@sorreltally/wire"
+import type { PartView } from "./context.ts"
+
+/** Times `startup_s` after which a boot no longer counts as coming: the design's weak spot, see docs/design.md. */
+const OVERDUE_BOOT = 1.6
+/** After a take-over, time in which the machines' first reports come in. */
+const FIRST_REPORTS_MS = 8_000
+
+export const teamUse = (part: PartView): Map<TeamName, TeamRoom> => {
+  const used = new Map<TeamName, TeamRoom>()
+  for (const team of part.ctx.platform.facts.teams) used.set(team.name, { cores: 0, accelerators: 0 })
+  for (const job of part.jobs.values()) {
+    const u = used.get(job.request.owner)
+    if (u === undefined) continue
+    u.cores += job.request.cores * job.placements.size
+    u.accelerators += job.request.accelerators * job.placements.size
+  }
+  return used
+}
+
+/** Teams whose share here keeps queued tasks from starting. */
+export const quotaNeeds = (
+  part: PartView,
+  jobs: ReadonlyArray<JobView>,
+  teams: ReadonlyMap<TeamName, TeamRoom>,
+): ReadonlyArray<QuotaNeed> => {
+  const out = new Map<TeamName, QuotaNeed>()
+  for (const { id, request, queued, rank } of jobs) {
+    const room = teams.get(request.owner)
+    if (queued === 0 || room === undefined) continue
+    if (slotsIn(request, { ...room, mem_gb: Number.POSITIVE_INFINITY }) >= queued) continue
+    const since = part.jobs.get(id)?.submitted ?? 0
+    const need: QuotaNeed = { part: part.part, team: request.owner, rank, since }
+    const before = out.get(request.owner)
+    if (before === undefined || goesFirst(need, before)) out.set(request.owner, need)
+  }
+  return [...out.values()]
+}
+
+export const runningTasks = (part: PartView, now: Moment): ReadonlyArray<RunningTask> => {
+  const tasks: Array<RunningTask> = []
+  for (const session of part.machines.values()) {
+    for (const { job, runningSince } of session.placements.values()) {
+      const executionS = part.ctx.estimates.executionS(job.request)
+      const ranS = runningSince === null ? 0 : (now - runningSince) / 1000
+      // One that overran its estimate may end at any time, or much later.
+      const remainingS = ranS < executionS ? executionS - ranS : executionS / 3
+      tasks.push({ cores: job.request.cores, remainingS })
+    }
+  }
+  return tasks
+}
+
+export const jobViews = (part: PartView, now: Moment): ReadonlyArray<JobView> => {
+  const wall = part.ctx.time.wall()
+  const ahead = new Map<TeamName, number>()
+  const views: Array<JobView> = []
+  const bySubmission = [...part.jobs.values()].sort((a, b) => a.submitted - b.submitted)
+  for (const job of bySubmission) {
+    if (job.withdrawn || job.complete) continue
+    const { request } = job
+    const team = part.ctx.platform.facts.teams.find((t) => t.name === request.owner)
+    const demand = (ahead.get(request.owner) ?? 0) + (job.pieces - job.done) * request.cores
+    ahead.set(request.owner, demand)
+    const ageS = Math.max(0, (wall - job.submitted) / 1000)
+    const executionS = part.ctx.estimates.executionS(request)
+    const zones = new Map<ZoneName, number>()
+    let running = 0
+    for (const placement of job.placements.values()) {
+      const zone = part.machines.get(placement.machine)?.record.site
+      if (zone !== undefined) zones.set(zone, (zones.get(zone) ?? 0) + 1)
+      if (placement.stop === null) running++
+    }
+    views.push({
+      id: job.id,
+      request,
+      rank: urgencyRank[request.urgency],
+      queued: job.queued,
+      running,
+      zones,
+      timeLeftS: request.due_s == null ? null : request.due_s - ageS,
+      ageS,
+      executionS,
+      startWithinS: startWithin(part, request.lane, executionS),
+      withinGuarantee: team !== undefined && demand <= team.cpus,
+      mayStart: job.notBefore === null || now >= job.notBefore,
+    })
+  }
+  return views
+}
+
+export const startWithin = (part: PartView, lane: string, executionS: number): number | null => {
+  let within: number | null = null
+  for (const objective of part.ctx.platform.facts.objectives) {
+    if (objective.class !== lane || objective.within_s == null) continue
+    const start = objective.kind === "finished" ? objective.within_s - executionS : objective.within_s
+    if (objective.kind === "wait" || objective.kind === "finished") within = Math.min(within ?? start, start)
+  }
+  return within
+}
+
+export const machineViews = (part: PartView, now: Moment): ReadonlyArray<MachineView> => {
+  const views: Array<MachineView> = []
+  for (const session of part.machines.values()) {
+    const tenancy = part.tenancies.get(session.id)!
+    const { type, record } = session
+    let { cores, accelerators, mem_gb } = type
+    for (const { job } of session.placements.values()) {
+      cores -= job.request.cores
+      accelerators -= job.request.accelerators
+      mem_gb -= job.request.mem_gb
+    }
+    const bootingS = (now - tenancy.rentedAt) / 1000
+    const state =
+      tenancy.returning || tenancy.moving || session.warningUntil !== null
+        ? "away"
+        : session.usable(now)
+          ? tenancy.closing
+            ? "closing"
+            : "up"
+          : session.lastHeard === NEVER &&
+              (bootingS < type.startup_s * OVERDUE_BOOT || now < later(tenancy.knownSince, FIRST_REPORTS_MS))
+            ? "coming"
+            : "away"
+    views.push({
+      id: session.id,
+      type,
+      zone: record.site,
+      spot: record.loaners,
+      free: { cores, accelerators, mem_gb },
+      busyTasks: session.placements.size,
+      images: new Set(session.images.keys()),
+      state,
+      holder: tenancy.holder,
+    })
+  }
+  for (const [name, hire] of part.hiring) {
+    for (let i = 0; i < hire.count; i++) {
+      const { type, zone, spot } = hire.hireable
+      views.push({
+        id: `${name}/${i}` as MachineId,
+        type,
+        zone,
+        spot,
+        free: type,
+        busyTasks: 0,
+        images: new Set(),
+        state: "coming",
+        holder: hire.holder,
+      })
+    }
+  }
+  return views
+}
--- a/packages/settings/src/operators.ts
+++ b/packages/settings/src/operators.ts
@@ -22,12 +22,7 @@
 export const knobs = {
   provisioning: {
     "window-s": knob(30, 1, 86_400, "rented machines are held to the end of a window of this length"),
-    "deployment-s": knob(
-      40,
-      0,
-      3_600,
-      "time from a rental until tasks can run",
-    ),
+    "deployment-s": knob(40, 0, 3_600, "time from a rental until tasks can run"),
     "dearest-steady": knob(
       10,
       1,
