--- a/packages/settings/src/operators.ts
+++ b/packages/settings/src/operators.ts
@@ -24,7 +24,7 @@
     "window-s": knob(30, 1, 86_400, "rented machines are held to the end of a window of this length"),
     "deployment-s": knob(40, 0, 3_600, "time from a rental until tasks can run"),
     "dearest-steady": knob(
-      10,
+      6,
       1,
       1_000,
       "a steady machine is rented while it costs at most this many times the cheapest kind for the same work",
