--- a/packages/controller/src/context.ts
+++ b/packages/controller/src/context.ts
@@ -16,7 +16,6 @@
 } from "@sorreltally/wire"
 import type { Introduction, WorkerSession } from "@sorreltally/workers"
 import type { Effect } from "effect"
-import type { AimRecord } from "./aims.ts"
 import type { Estimates } from "./estimates.ts"
 import type { Fleet } from "./fleet.ts"
 
@@ -64,5 +63,4 @@
   readonly machines: ReadonlyMap<MachineId, WorkerSession>
   readonly tenancies: ReadonlyMap<MachineId, Tenancy>
   readonly hiring: ReadonlyMap<HireName, PlannedHire>
-  readonly aims: AimRecord
 }
--- a/packages/controller/src/engine.ts
+++ b/packages/controller/src/engine.ts
@@ -49,7 +49,6 @@
 } from "@sorreltally/wire"
 import { type Introduction, type Outcome, WorkerSession } from "@sorreltally/workers"
 import { Effect, Result } from "effect"
-import { AimRecord } from "./aims.ts"
 import { Arrivals } from "./arrivals.ts"
 import type { EngineContext, PartView, Tenancy } from "./context.ts"
 import { preempt } from "./preempt.ts"
@@ -96,7 +95,6 @@
   private readonly gifts: Array<{ readonly to: PartName; readonly slots: number; readonly until: Moment }> =
     []
   private readonly arrivals = new Arrivals()
-  readonly aims = new AimRecord()
   private reserveRank = Number.NEGATIVE_INFINITY
   private steadyWanted = false
   private attempts = 0
@@ -388,8 +386,6 @@
       const { job } = placement
       if (outcome.kind === "running") {
         const waitedS = (this.ctx.time.wall() - job.submitted) / 1000
-        const within = startWithin(this, job.request.lane, this.ctx.estimates.executionS(job.request))
-        if (within !== null) this.aims.learn(job.request.lane, waitedS <= within)
         const fetchedS = (now - placement.placedAt) / 1000
         this.ctx.log.debug("task runs", {
           task: placement.task,
--- a/packages/controller/src/views.ts
+++ b/packages/controller/src/views.ts
@@ -100,7 +100,6 @@
       executionS,
       startWithinS: startWithin(part, request.lane, executionS),
       withinGuarantee: team !== undefined && demand <= team.cpus,
-      aimAtRisk: request.due_s == null && part.aims.share(request.lane) < startShare(part, request.lane),
       mayStart: job.notBefore === null || now >= job.notBefore,
     })
   }
@@ -117,13 +116,6 @@
   return within
 }
 
-/** The largest share of a lane's tasks that an aim wants started in time. */
-const startShare = (part: PartView, lane: string): number =>
-  part.ctx.platform.facts.objectives.reduce(
-    (most, o) => (o.class === lane && o.kind === "wait" ? Math.max(most, o.share ?? 0) : most),
-    0,
-  )
-
 export const machineViews = (part: PartView, now: Moment): ReadonlyArray<MachineView> => {
   const views: Array<MachineView> = []
   for (const session of part.machines.values()) {
--- a/packages/planner/src/model.ts
+++ b/packages/planner/src/model.ts
@@ -66,8 +66,6 @@
   readonly startWithinS: number | null
   readonly withinGuarantee: boolean
   readonly mayStart: boolean
-  /** Its lane lately kept its aim on starting less often than it should: money matters less than room. */
-  readonly aimAtRisk: boolean
 }
 
 /** What a team may still start, in this part. */
--- a/packages/planner/src/plan.ts
+++ b/packages/planner/src/plan.ts
@@ -292,7 +292,7 @@
   for (const option of snapshot.market) {
     if (!allowed(job.request, option) || zoneAllowance(job.request, job.zones, option.zone) <= 0) continue
     const work = costOfWork(job, missing, option.type, option.price)
-    if (!option.spot && (!steadyToo || (job.request.loaners && !job.aimAtRisk && work > dearest))) continue
+    if (!option.spot && (!steadyToo || (job.request.loaners && work > dearest))) continue
     const cost = work + (option.spot ? 0 : STEADY_LAST)
     const closer = pick !== null && Math.abs(cost - pickCost) < EPSILON && option.ours < pick.ours
     if (cost < pickCost - EPSILON || closer) {
