--- a/packages/controller/src/controller.ts
+++ b/packages/controller/src/controller.ts
@@ -18,6 +18,7 @@
   type NodeName,
   type Outgoing,
   type PartName,
+  type Redirect,
   type Report,
   type Stamp,
   type Timekeeper,
@@ -221,7 +222,7 @@
     const back = now < later(this.sentAway.get(body.host) ?? (-Infinity as Moment), BACK_SOON_MS)
     if (!relaying && !back) {
       this.sentAway.set(body.host, now)
-      return Effect.succeed({ status: 421, body: { steward: owner } })
+      return Effect.succeed({ status: 421, body: { steward: owner } satisfies Redirect })
     }
     if (!relaying) {
       this.sentAway.delete(body.host)
--- a/packages/controller/src/engine.ts
+++ b/packages/controller/src/engine.ts
@@ -37,6 +37,7 @@
   type MachineId,
   type Moment,
   NEVER,
+  type OrdersRequest,
   type Outgoing,
   type PartName,
   type Report,
@@ -325,10 +326,6 @@
 
   // --- workers --------------------------------------------------------------
 
-  owns(machine: MachineId): boolean {
-    return this.machines.has(machine)
-  }
-
   /** The answer to a report of one of our machines; null when we may not answer. */
   report(body: Report): Outgoing {
     const session = this.machines.get(body.host)
@@ -441,7 +438,7 @@
       if (session.ordersInFlight || address === null || tenure === null || !this.active) return Effect.void
       const orders = session.orders(now, (task) => this.finishIsDurable(task))
       session.sending(orders)
-      const body = { baton: token, tenure, orders }
+      const body: OrdersRequest = { baton: token, tenure, orders }
       return Effect.gen({ self: this }, function* () {
         const reply = yield* Effect.result(
           this.ctx.exchange.call({
--- a/packages/daemon/src/http.ts
+++ b/packages/daemon/src/http.ts
@@ -1,18 +1,13 @@
 import { Agent, createServer, request as httpRequest, type Server } from "node:http"
 import type { Address, Call, Exchange, Incoming, Log, Outgoing, Reply } from "@sorreltally/wire"
-import { answeredInTime, NoAnswer } from "@sorreltally/wire"
+import { answeredInTime, hostAndPort, NoAnswer } from "@sorreltally/wire"
 import { Effect, Exit } from "effect"
 
-const split = (address: Address) => {
-  const at = address.lastIndexOf(":")
-  return { host: address.slice(0, at), port: Number(address.slice(at + 1)) }
-}
-
 export const httpExchange = (): Exchange["Service"] => {
   const agent = new Agent({ keepAlive: true, maxFreeSockets: 16 })
   const once = (call: Call): Effect.Effect<Reply, NoAnswer> =>
     Effect.callback<Reply, NoAnswer>((resume) => {
-      const { host, port } = split(call.address)
+      const { host, port } = hostAndPort(call.address)
       const text = call.body === undefined ? undefined : JSON.stringify(call.body)
       const headers =
         text === undefined
@@ -88,7 +83,7 @@
   server.keepAliveTimeout = 0
   server.requestTimeout = 30_000
   server.on("error", (cause) => log.error("listener", { cause: String(cause) }))
-  const { host, port } = split(listen)
+  const { host, port } = hostAndPort(listen)
   server.listen(port, host)
   return server
 }
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -86,9 +86,6 @@
     const now = this.now()
     return this.current !== null && now < this.grantUntil && now < this.freshUntil
   }
-  epoch(part: PartName): Stamp | null {
-    return this.owned.get(part) ?? null
-  }
   incarnation(): Incarnation | null {
     return this.current?.incarnation ?? null
   }
--- a/packages/peers/src/sockets.ts
+++ b/packages/peers/src/sockets.ts
@@ -1,5 +1,5 @@
 import { createConnection, createServer, type Socket } from "node:net"
-import type { Address, Log, NodeName } from "@sorreltally/wire"
+import { type Address, hostAndPort, type Log, type NodeName } from "@sorreltally/wire"
 import type { Links } from "./channel.ts"
 
 const LONGEST_FRAME = 1 << 20
@@ -9,11 +9,6 @@
 const CONNECT_MS = 2_000
 const STALLED_MS = 6_000
 
-const split = (address: Address) => {
-  const at = address.lastIndexOf(":")
-  return { host: address.slice(0, at), port: Number(address.slice(at + 1)) }
-}
-
 /** Length-prefixed frames over TCP; each node dials every other and sends on what it dialled. */
 export const openSockets = (
   listen: Address,
@@ -46,12 +41,12 @@
     socket.on("error", () => socket.destroy())
   })
   server.on("error", (cause) => log.error("peer listener", { cause: String(cause) }))
-  const at = split(listen)
+  const at = hostAndPort(listen)
   server.listen(at.port, at.host)
 
   const out = new Map<NodeName, Socket>()
   const dial = (node: NodeName, address: Address) => {
-    const { host, port } = split(address)
+    const { host, port } = hostAndPort(address)
     const socket = createConnection({ host, port, noDelay: true })
     const giveUp = setTimeout(() => socket.destroy(), CONNECT_MS)
     let drainedAt = performance.now()
--- a/packages/wire/src/ids.ts
+++ b/packages/wire/src/ids.ts
@@ -55,8 +55,6 @@
 export const GrantId = count.pipe(Schema.brand("GrantId"))
 export type GrantId = typeof GrantId.Type
 
-export const Seconds = Schema.Finite.check(Schema.isGreaterThanOrEqualTo(0)).pipe(Schema.brand("Seconds"))
-export type Seconds = typeof Seconds.Type
 /** Milliseconds on this process's steady clock: comparable only within it. */
 export type Moment = number & { readonly Moment: unique symbol }
 /** Milliseconds of the time of day: comparable between nodes within the settings' bound. */
@@ -64,6 +62,10 @@
 
 export const ABSENT = 0 as Stamp
 
+export const hostAndPort = (address: Address): { readonly host: string; readonly port: number } => {
+  const at = address.lastIndexOf(":")
+  return { host: address.slice(0, at), port: Number(address.slice(at + 1)) }
+}
 export const taskId = (job: JobId, index: number): TaskId => `${job}/${index}` as TaskId
 export const splitTaskId = (task: TaskId): { readonly job: JobId; readonly index: number } => {
   const at = task.indexOf("/")
