--- /dev/null
+++ b/scenarios/quota-small.sexp
@@ -0,0 +1,7 @@
+(scenario "quota: parts of equal rank share a limit in which only a few tasks fit, and none starves"
+  (seed 31) (until 600) (team-limit 12)
+  (at 1 (submit pieces 4 cores 8 run 12) (submit pieces 4 cores 8 run 12) (submit pieces 4 cores 8 run 12)
+        (submit pieces 4 cores 8 run 12) (submit pieces 4 cores 8 run 12) (submit pieces 4 cores 8 run 12 due 90)
+        (submit pieces 4 cores 8 run 12) (submit pieces 4 cores 8 run 12))
+  (expect (all-over))
+  (guard "packages/controller/src/shares.ts" "if (asked === \"first\" || this.now() - since > UNUSED_MS) {" "if (this.now() < 0) {"))
