--- a/packages/controller/src/controller.ts
+++ b/packages/controller/src/controller.ts
@@ -204,8 +204,7 @@
 
   report(body: Report): Effect.Effect<Outgoing> {
     return Effect.suspend((): Effect.Effect<Outgoing> => {
-      const record = this.membership.mirror.get<MachineRecord>(keys.machine(body.host))
-      const part = record?.v.part ?? DEADLINE
+      const part = this.partOfMachine(body.host)
       const own = this.engines.get(part)
       if (own !== undefined) return Effect.succeed(own.engine.report(body))
       const owner = this.membership.owner(part)
@@ -215,6 +214,11 @@
     })
   }
 
+  /** A machine that nobody has on record is the leader's to adopt. */
+  private partOfMachine(machine: MachineId): PartName {
+    return this.membership.mirror.get<MachineRecord>(keys.machine(machine))?.v.part ?? DEADLINE
+  }
+
   /** Sends the worker to its owner, or, once that has failed, relays for it. It is never answered 200 on our own. */
   private passOn(body: Report, owner: NodeName): Effect.Effect<Outgoing> {
     const now = this.time.moment()
@@ -238,8 +242,7 @@
     if (kind === "report") {
       const report = decodeReport(body)
       if (Result.isFailure(report)) return Effect.succeed({ status: 400, body: {} })
-      const record = this.membership.mirror.get<MachineRecord>(keys.machine(report.success.host))
-      const own = this.engines.get(record?.v.part ?? DEADLINE)
+      const own = this.engines.get(this.partOfMachine(report.success.host))
       return Effect.succeed(own?.engine.report(report.success) ?? { status: 503, body: {} })
     }
     if (kind === "job") {
--- a/packages/controller/src/engine.ts
+++ b/packages/controller/src/engine.ts
@@ -326,7 +326,7 @@
 
   // --- workers --------------------------------------------------------------
 
-  /** The answer to a report of one of our machines; null when we may not answer. */
+  /** The answer to a report of one of our machines; 503 when we may not act for it. */
   report(body: Report): Outgoing {
     const session = this.machines.get(body.host)
     if (!this.ready || !this.active || session === undefined || session.outdated(body))
@@ -369,12 +369,20 @@
         mirror.hint({ path, v: session.record, stamp: done.success.epoch })
         return
       }
-      const read = yield* Effect.result(this.ctx.state.get(path))
-      if (Result.isSuccess(read) && read.success !== null) mirror.hint(read.success)
+      yield* this.lookUp(path)
       yield* Effect.sleep(300)
     })
   }
 
+  /** What a mirrored key says now; the mirror learns of it. */
+  private lookUp(path: string) {
+    return Effect.tap(Effect.result(this.ctx.state.get(path)), (read) =>
+      Effect.sync(() => {
+        if (Result.isSuccess(read) && read.success !== null) this.ctx.membership.mirror.hint(read.success)
+      }),
+    )
+  }
+
   private apply(session: WorkerSession, outcomes: ReadonlyArray<Outcome>): void {
     if (outcomes.length === 0) return
     const now = this.ctx.time.moment()
@@ -667,11 +675,7 @@
     }
     const jobs = jobViews(this, now)
     const share = this.shareOfFleet()
-    const reserve = {
-      rank: this.reserveRank,
-      cores: this.arrivals.reserveCores(this.ctx.time.moment()),
-      images: this.arrivals.images(),
-    }
+    const reserve = this.reserve()
     for (const { machine, to } of lend(
       machineViews(this, now),
       jobs,
@@ -758,9 +762,8 @@
         // Without an answer the move may have happened, or may yet: until the
         // record says which, nothing is placed here.
         for (;;) {
-          const read = yield* Effect.result(this.ctx.state.get(path))
+          const read = yield* this.lookUp(path)
           if (Result.isSuccess(read) && read.success !== null) {
-            mirror.hint(read.success)
             const unknown = Result.isFailure(done) && done.failure.outcome === "unknown"
             // Rewriting the record stops a late copy of the move by its stamp.
             if (!unknown || read.success.stamp !== session.recordStamp) break
@@ -834,7 +837,7 @@
       this.changedJobs.add(job)
     }
     if (decided.placements.length > 0) this.commitSignal.notify()
-    for (const { machine, holder } of decided.holders) {
+    for (const [machine, holder] of decided.holders) {
       const tenancy = this.tenancies.get(machine)
       if (tenancy !== undefined) tenancy.holder = holder
     }
@@ -1044,9 +1047,8 @@
             mirror.apply([{ path, v: null, stamp: done.success.epoch, gone: true }], mirror.revision)
             return
           }
-          const read = yield* Effect.result(this.ctx.state.get(path))
-          if (Result.isSuccess(read) && read.success !== null) this.ctx.membership.mirror.hint(read.success)
-          else if (Result.isSuccess(read)) return this.dropMachine(session, "deleted")
+          const read = yield* this.lookUp(path)
+          if (Result.isSuccess(read) && read.success === null) return this.dropMachine(session, "deleted")
           yield* Effect.sleep(500)
         }
       }),
--- a/packages/controller/src/fleet.ts
+++ b/packages/controller/src/fleet.ts
@@ -21,7 +21,7 @@
 
 /**
  * What this node knows of the cloud: the types, what was refused lately, and
- * the last list of machines. The list lags; see `listedAsOf`.
+ * the last list of machines. The list lags; see `listedAt`.
  */
 export class Fleet {
   private types = new Map<TypeName, MachineType>()
--- a/packages/planner/src/model.ts
+++ b/packages/planner/src/model.ts
@@ -149,7 +149,7 @@
   readonly placements: ReadonlyArray<PlannedPlacement>
   readonly hires: ReadonlyArray<PlannedHire>
   /** Machines whose holder changes; null: to the pool. */
-  readonly holders: ReadonlyArray<{ readonly machine: MachineId; readonly holder: JobId | null }>
+  readonly holders: ReadonlyMap<MachineId, JobId | null>
   /** Some work needs machines that spot can't give: steady ones that we have are kept in use. */
   readonly steadyWanted: boolean
   /** Queued tasks for which no machine of ours that is up has room, most urgent job first. */
--- a/packages/planner/src/plan.ts
+++ b/packages/planner/src/plan.ts
@@ -1,4 +1,4 @@
-import type { JobId, MachineType, ZoneName } from "@sorreltally/wire"
+import type { JobId, MachineId, MachineType, ZoneName } from "@sorreltally/wire"
 import { canGiveBack, extraResources, newMachinesComeInTime } from "./deadline.ts"
 import {
   allowed,
@@ -49,7 +49,7 @@
   const jobs = inOrder(snapshot.jobs)
   const slots: Array<Slot> = snapshot.machines.map((machine) => ({ machine, free: machine.free }))
   const placements: Array<PlannedPlacement> = []
-  const holders = new Map<string, { readonly machine: MachineView["id"]; readonly holder: JobId | null }>()
+  const holders = new Map<MachineId, JobId | null>()
   const queued = new Map<JobId, number>(jobs.map((j) => [j.id, j.queued]))
   const running = new Map<JobId, number>(jobs.map((j) => [j.id, j.running]))
 
@@ -86,7 +86,7 @@
   return {
     placements,
     hires: [...hires].map(([hireable, { count, holder }]): PlannedHire => ({ hireable, count, holder })),
-    holders: [...holders.values()],
+    holders,
     steadyWanted,
     unplaced,
   }
@@ -220,7 +220,7 @@
   job: JobView,
   held: ReadonlyArray<Slot>,
   running: number,
-  holders: Map<string, { readonly machine: MachineView["id"]; readonly holder: JobId | null }>,
+  holders: Map<MachineId, JobId | null>,
   pending = 0,
 ): void => {
   const up = held
@@ -236,7 +236,7 @@
     timeLeft: job.timeLeftS ?? Number.POSITIVE_INFINITY,
   }
   if (pending === 0 || canGiveBack(input, slotsIn(job.request, slot.machine.type))) {
-    holders.set(slot.machine.id, { machine: slot.machine.id, holder: null })
+    holders.set(slot.machine.id, null)
   }
 }
 
@@ -313,7 +313,7 @@
     const { type, zone, spot } = pick
     coming.push({
       machine: {
-        id: "" as MachineView["id"],
+        id: "" as MachineId,
         type,
         zone,
         spot,
--- a/packages/workers/src/session.ts
+++ b/packages/workers/src/session.ts
@@ -63,7 +63,6 @@
   readonly images = new Map<ImageName, Moment>()
   /** Tenures below this one have surely ended. */
   private liveTenure = 0 as Tenure
-  private stampOfPart: Stamp
   /** Starts that went out by `/orders` and have no answer yet. */
   private readonly flying = new Map<string, number>()
   /**
@@ -80,17 +79,16 @@
     public record: MachineRecord,
     public recordStamp: Stamp,
     readonly type: MachineType,
-    epoch: Stamp,
+    private readonly epoch: Stamp,
     private readonly times: LeaseTimes,
     now: Moment,
   ) {
-    this.stampOfPart = epoch
     // A former owner may have answered a report just before we took over.
     this.lastAnswered = now
   }
 
   get token(): Token {
-    return Math.max(this.stampOfPart, this.recordStamp) as number as Token
+    return Math.max(this.epoch, this.recordStamp) as number as Token
   }
   /** The worker has shown that it heard of our token: older commands are dead. */
   get confirmed(): boolean {
