A cancelled job with tasks left on machines was ended at a take-over (quota)

Cause: a new owner ended cancelled jobs before it had read their placements, so the tasks still on hanging machines counted for nothing.

--- a/packages/controller/src/engine.ts
+++ b/packages/controller/src/engine.ts
@@ -94,6 +94,8 @@
   private readonly rentals: Rentals
   /** Machines that have something to be told before their next report. */
   private readonly toTell = new Set<WorkerSession>()
+  /** Some of them wait for others' commands to be answered. */
+  private mustWait = false
   private readonly gifts: Array<{ readonly to: PartName; readonly slots: number; readonly until: Moment }> =
     []
   private readonly arrivals = new Arrivals()
@@ -233,7 +235,8 @@
       const job = new JobState(id, record, entry.stamp)
       this.jobs.set(id, job)
       this.arrived(record.request)
-      if (job.ended) this.commits.settle(job)
+      // During a take-over its placements aren't read yet: a cancelled job would seem to have none.
+      if (this.ready && job.ended) this.commits.settle(job)
       this.planSignal.notify()
       return
     }
@@ -480,6 +483,9 @@
     if (!this.active) return
     const now = this.ctx.time.moment()
     for (const session of this.toTell) {
+      // Whoever has to wait is told with the next answer, or when a command has been answered.
+      this.mustWait = this.ctx.commands.full
+      if (this.mustWait) return
       if (this.held.has(session)) {
         this.letGo(session, this.answer(session))
         continue
@@ -505,7 +511,7 @@
       const body: OrdersRequest = { baton: token, tenure, orders }
       const call = { address, method: "POST", path: "/orders", body, timeoutMs: CALL_TIMEOUT_MS } as const
       return Effect.gen({ self: this }, function* () {
-        const reply = yield* Effect.result(this.ctx.exchange.call(call))
+        const reply = yield* Effect.result(this.ctx.commands.within(this.ctx.exchange.call(call)))
         const status = Result.isSuccess(reply) ? reply.success.status : 0
         session.sent(orders, token, status === 200 || status === 409)
         if (this.over || this.machines.get(session.id) !== session) return
@@ -517,7 +523,7 @@
         const outcomes = session.observe(decoded.success, "direct", this.ctx.time.moment())
         if (outcomes !== null) this.apply(session, outcomes)
         this.afterBody(session)
-        if (this.toTell.has(session)) this.pushOrders()
+        if (this.mustWait || this.toTell.has(session)) this.pushOrders()
       })
     })
   }
--- a/packages/testkit/src/machines.ts
+++ b/packages/testkit/src/machines.ts
@@ -19,6 +19,8 @@
   readonly lease_s: number
 }
 
+const SHOWN_RUNNING_MS = 30_000
+
 /** A stand-in of one machine and its worker. */
 export class Machine {
   status: "booting" | "running" | "failed" = "booting"
@@ -112,6 +114,12 @@
     if (this.hung) this.missed.push(() => this.whenAwake(run))
     else run()
   }
+  /** It stops on its own; the cloud lists it as running for a while, then as failed. */
+  die(): void {
+    const { gone } = this
+    this.remove()
+    if (!gone) this.sim.after(SHOWN_RUNNING_MS, () => (this.status = "failed"))
+  }
   /** Power off: nothing runs, nothing answers. */
   remove(): void {
     if (this.gone) return
--- a/packages/testkit/src/scenario.ts
+++ b/packages/testkit/src/scenario.ts
@@ -1,6 +1,6 @@
 import type { JobId, JobRequest, NodeName } from "@sorreltally/wire"
 import { type Form, parse } from "sexpr-plus"
-import { type Setup, usualSetup, World } from "./world.ts"
+import { type Sending, type Setup, usualSetup, World } from "./world.ts"
 
 /** A piece of source without which the scenario must fail. */
 export interface Guard {
@@ -98,6 +98,11 @@
   "cut-machines": (world, args) =>
     world.cutMachines(number(args, 0, 1), number(args, 1, 20) * 1000, mode(args, 2)),
   "cut-zones": (world, args) => world.cutZones(number(args, 0, 20) * 1000, mode(args, 1)),
+  "cut-zone": (world, args) => world.cutZone(args[0]!, number(args, 1, 30) * 1000, mode(args, 2)),
+  freeze: (world, args) =>
+    world.freeze(node(args), number(args, 1, 30) * 1000, (args[2] ?? null) as Sending | null),
+  "refuse-peers": (world, args) => world.refusePeers(number(args, 0, 20) * 1000),
+  die: (world, args) => world.die(number(args, 0, 1)),
   "cut-peers": (world, args) => world.cutPeers(node(args), number(args, 1, 20) * 1000),
   "cut-orders": (world, args) => world.cutOrders(number(args, 0, 20) * 1000),
   isolate: (world, args) => world.isolate(node(args), number(args, 1, 20) * 1000),
--- a/packages/testkit/src/sim.ts
+++ b/packages/testkit/src/sim.ts
@@ -97,13 +97,15 @@
     this.now = Math.max(this.now, end)
   }
 
-  /** A process of its own: once `dead`, nothing it waits for ever comes. */
-  process(wallOffsetMs: number): {
-    readonly provide: Provide
-    readonly kill: () => void
-    readonly alive: () => boolean
-  } {
+  /** A process of its own: once killed, nothing it waits for ever comes; while it stands still, nothing yet. */
+  process(wallOffsetMs: number): Process {
     let alive = true
+    let missed: Array<() => void> | null = null
+    const whenAwake = (run: () => void): void => {
+      if (!alive) return
+      if (missed === null) run()
+      else missed.push(run)
+    }
     const wall = () => Math.floor(EPOCH_MS + this.now + wallOffsetMs)
     const nanos = () => BigInt(Math.round(this.now * 1e6))
     const clock: Clock.Clock = {
@@ -115,16 +117,12 @@
       monotonicTimeNanos: Effect.sync(nanos),
       sleep: (duration) =>
         Effect.callback<void>((resume) => {
-          const cancel = this.after(Duration.toMillis(duration), () => {
-            if (alive) resume(Effect.void)
-          })
+          const cancel = this.after(Duration.toMillis(duration), () => whenAwake(() => resume(Effect.void)))
           return Effect.sync(cancel)
         }),
     }
     const scheduler = new Scheduler.MixedScheduler("async", (run) => {
-      this.soon(() => {
-        if (alive) run()
-      })
+      this.soon(() => whenAwake(run))
       return () => {}
     })
     return {
@@ -137,9 +135,28 @@
         alive = false
       },
       alive: () => alive,
+      whenAwake,
+      freeze: (ms) => {
+        if (missed !== null) return
+        missed = []
+        this.after(ms, () => {
+          const late = missed ?? []
+          missed = null
+          for (const run of late) this.soon(() => whenAwake(run))
+        })
+      },
     }
   }
 }
+/** Clocks run on whatever the process does. */
+export interface Process {
+  readonly provide: Provide
+  readonly kill: () => void
+  readonly alive: () => boolean
+  /** At once, or when the process goes on. */
+  readonly whenAwake: (run: () => void) => void
+  readonly freeze: (ms: number) => void
+}
 export type Provide = <A, E, R>(effect: Effect.Effect<A, E, R>) => Effect.Effect<A, E, R>
 
 /** Any time of day will do. */
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -14,9 +14,9 @@
 import { Effect, Exit, Random } from "effect"
 import { Cloud } from "./cloud.ts"
 import type { Machine } from "./machines.ts"
-import { Net } from "./net.ts"
+import { type Answer, type CutMode, Net, type Request } from "./net.ts"
 import { Rules } from "./rules.ts"
-import { Sim } from "./sim.ts"
+import { type Process, Sim } from "./sim.ts"
 import { StateService } from "./state.ts"
 
 export interface Setup {
@@ -44,9 +44,13 @@
 const WORKERS = { report_s: 3, lease_s: 27, cancel_s: 47 }
 
 interface Life {
-  readonly kill: () => void
+  readonly process: Process
   readonly hear: { receive: ((frame: Uint8Array) => void) | null }
+  /** It stands still as soon as it is about to send such a message, which leaves when it goes on. */
+  freezeAt: { readonly at: Sending; readonly ms: number } | null
 }
+/** What a controller may be about to send when it is made to stand still. */
+export type Sending = "answer" | "command" | "transaction" | "take-over" | "touch"
 
 /** A whole deployment: controllers, their surroundings, users, and the rules. */
 export class World {
@@ -128,10 +132,22 @@
     const index = this.names.indexOf(name)
     const process = this.sim.process(this.sim.luck.between(-900, 900))
     const hear: Life["hear"] = { receive: null }
+    const send = (what: Sending | null, go: () => void) => {
+      const life = this.lives.get(name)
+      if (life?.process === process && life.freezeAt !== null && life.freezeAt.at === what) {
+        process.freeze(life.freezeAt.ms)
+        life.freezeAt = null
+      }
+      process.whenAwake(go)
+    }
     const links: Links = {
       send: (to, frame) => {
         const bytes = Uint8Array.from(frame)
-        if (process.alive()) this.net.carry(name, to, () => this.lives.get(to)?.hear.receive?.(bytes))
+        const deliver = () => {
+          const life = this.lives.get(to)
+          life?.process.whenAwake(() => life.hear.receive?.(bytes))
+        }
+        process.whenAwake(() => this.net.carry(name, to, deliver))
       },
       receive: (handler) => {
         hear.receive = handler
@@ -140,11 +156,12 @@
     const exchange = answeredInTime((call) =>
       Effect.callback((resume) => {
         const to = call.address.slice(0, call.address.lastIndexOf(":"))
-        if (!process.alive()) return
-        this.net.request(name, to, { method: call.method, path: call.path, body: call.body }, (answer) => {
-          if (!process.alive()) return
-          resume(answer === null ? Effect.fail(new NoAnswer({ reason: "reset" })) : Effect.succeed(answer))
-        })
+        const request = { method: call.method, path: call.path, body: call.body }
+        const done = (answer: Answer | null) =>
+          process.whenAwake(() =>
+            resume(answer === null ? Effect.fail(new NoAnswer({ reason: "reset" })) : Effect.succeed(answer)),
+          )
+        send(sendingOf(request), () => this.net.request(name, to, request, done))
       }),
     )
     const log = (level: string) => (message: string, facts?: Record<string, unknown>) => {
@@ -161,16 +178,19 @@
     const born = (node: Node) => {
       Effect.runCallback(dress(node.run))
       this.net.listen(name, (request, _from, answer) => {
-        if (!process.alive()) return
-        const incoming = { method: request.method, path: request.path, body: JSON.stringify(request.body) }
-        Effect.runCallback(inside(node.handle(incoming)), {
-          onExit: (exit) => {
-            if (process.alive()) answer(Exit.isSuccess(exit) ? exit.value : { status: 503, body: {} })
-          },
+        process.whenAwake(() => {
+          const incoming = { method: request.method, path: request.path, body: JSON.stringify(request.body) }
+          Effect.runCallback(inside(node.handle(incoming)), {
+            onExit: (exit) => {
+              const outgoing = Exit.isSuccess(exit) ? exit.value : { status: 503, body: {} }
+              const report = request.path === "/v1/report" && outgoing.status === 200
+              send(report ? "answer" : null, () => answer(outgoing))
+            },
+          })
         })
       })
     }
-    this.lives.set(name, { kill: process.kill, hear })
+    this.lives.set(name, { process, hear, freezeAt: null })
     Effect.runCallback(dress(makeNode(this.platform(index), defaultOperators(), links, logs)), {
       onExit: (exit) => {
         if (Exit.isSuccess(exit)) born(exit.value)
@@ -179,7 +199,7 @@
   }
 
   crash(name: NodeName, backAfterMs: number): void {
-    this.lives.get(name)?.kill()
+    this.lives.get(name)?.process.kill()
     this.lives.delete(name)
     this.net.close(name)
     this.sim.after(backAfterMs, () => this.start(name))
@@ -187,8 +207,36 @@
 
   // --- trouble ----------------------------------------------------------------
 
+  /** It stands still while its clocks run on: at once, or in the middle of sending something. */
+  freeze(name: NodeName, ms: number, at: Sending | null): void {
+    const life = this.lives.get(name)
+    if (life === undefined) return
+    if (at === null) life.process.freeze(ms)
+    else life.freezeAt = { at, ms }
+  }
+  /** One zone apart from everything outside of it. */
+  cutZone(zone: string, forMs: number, mode: CutMode): void {
+    const inside = (host: string) => this.zoneOf(host) === zone
+    this.sim.after(
+      forMs,
+      this.net.cut((a, b) => inside(a) && !inside(b), mode),
+    )
+  }
+  /** Controllers can't connect to each other. */
+  refusePeers(forMs: number): void {
+    const nodes = new Set<string>(this.names)
+    this.sim.after(
+      forMs,
+      this.net.cut((a, b) => nodes.has(a) && nodes.has(b), "reset"),
+    )
+  }
+  /** Machines stop with all that is on them; the list says so much later. */
+  die(count: number): void {
+    for (const machine of this.someMachines(count)) machine.die()
+  }
+
   running(): ReadonlyArray<Machine> {
-    return [...this.cloud.machines.values()].filter((m) => m.status === "running")
+    return [...this.cloud.machines.values()].filter((m) => m.status === "running" && !m.gone)
   }
   someMachines(count: number): ReadonlyArray<Machine> {
     const from = [...this.running()]
@@ -198,14 +246,14 @@
     }
     return out
   }
-  cutMachines(count: number, forMs: number, mode: "hold" | "drop" | "reset"): void {
+  cutMachines(count: number, forMs: number, mode: CutMode): void {
     const ids = new Set(this.someMachines(count).map((m) => m.id))
     this.sim.after(
       forMs,
       this.net.cut((a) => ids.has(a), mode),
     )
   }
-  cutZones(forMs: number, mode: "hold" | "drop" | "reset"): void {
+  cutZones(forMs: number, mode: CutMode): void {
     const [one, two] = this.setup.zones
     this.sim.after(
       forMs,
@@ -335,6 +383,13 @@
   }
 }
 
+const sendingOf = ({ path, body }: Request): Sending | null => {
+  if (path === "/orders") return "command"
+  if (path.endsWith("/touch")) return "touch"
+  if (path !== "/multi") return null
+  const { apply } = body as { apply: ReadonlyArray<{ readonly set?: string }> }
+  return apply.some(({ set }) => set?.startsWith("s/part/") === true) ? "take-over" : "transaction"
+}
 const stateOf = (body: unknown): string | null => (body as { status?: string } | null)?.status ?? null
 
 const machineType = (
--- a/packages/testkit/test/faults.test.ts
+++ b/packages/testkit/test/faults.test.ts
@@ -53,6 +53,12 @@
       () => `(isolate ${node()} ${int(3, 50)})`,
       () => `(deafen ${int(1, 4)} ${int(5, 60)})`,
       () => `(reboot ${int(1, 4)} ${luck.pick([0.1, 0.5, 5])})`,
+      () => `(cut-zone ${luck.pick(["a", "b"])} ${int(10, 60)} ${mode()})`,
+      () =>
+        `(freeze ${node()} ${int(3, 35)}${luck.pick(["", " answer", " command", " transaction", " take-over", " touch"])})`,
+      () => `(die ${int(1, 5)})`,
+      () => `(hang ${int(2, 6)} ${int(28, 45)})`,
+      () => `(refuse-peers ${int(3, 30)})`,
     ])()
   for (let at = luck.between(5, 25); at < 160; at += luck.between(3, 25))
     lines.push(`(at ${at.toFixed(1)} ${fault()})`)
