Sockets dealt out by kind, from the settings; the idlest connection makes room

Kept connections to workers grew with the fleet, and those of machines that are gone stayed for ever: with half as many machines again both together pass the limit. Commands under way are bounded, too; settings that can't work are a clear error, tight ones are served.

--- a/packages/controller/src/context.ts
+++ b/packages/controller/src/context.ts
@@ -19,6 +19,7 @@
 import type { FleetBook } from "./book.ts"
 import type { Estimates } from "./estimates.ts"
 import type { Fleet } from "./fleet.ts"
+import type { InFlight } from "./in-flight.ts"
 
 /** What a part's engine shares with the rest of its node. */
 export interface EngineContext {
@@ -28,6 +29,8 @@
   readonly state: StateClient
   readonly cloud: CloudClient
   readonly exchange: Exchange["Service"]
+  /** Commands to workers under way from this node. */
+  readonly commands: InFlight
   readonly membership: Membership
   readonly fleet: Fleet
   readonly book: FleetBook
--- a/packages/controller/src/controller.ts
+++ b/packages/controller/src/controller.ts
@@ -3,7 +3,7 @@
 import { DEADLINE, Membership, type PartKeeper, partOf } from "@sorreltally/membership"
 import type { PeerChannel } from "@sorreltally/peers"
 import type { Need, QuotaNeed, Wants } from "@sorreltally/planner"
-import type { Operators, Platform } from "@sorreltally/settings"
+import { type Operators, type Platform, sizesOf } from "@sorreltally/settings"
 import { type Entry, type JobRecord, keys, type StateClient, type StateTrouble } from "@sorreltally/state"
 import {
   Exchange,
@@ -33,6 +33,7 @@
 import { PartEngine } from "./engine.ts"
 import { Estimates } from "./estimates.ts"
 import { Fleet } from "./fleet.ts"
+import { InFlight } from "./in-flight.ts"
 import { type Load, Relays } from "./relays.ts"
 
 const WANTS_EVERY_MS = 200
@@ -63,6 +64,7 @@
   >()
   private readonly relays: Relays
   private readonly estimates = new Estimates()
+  private readonly commands: InFlight
   private readonly wants = new Map<PartName, { readonly wants: Wants; readonly at: Moment }>()
   private wantsChanged = false
   private hires = 0
@@ -83,6 +85,7 @@
       gained: (part, epoch) => this.gained(part, epoch),
       lost: (part) => this.lost(part),
     }
+    this.commands = new InFlight(sizesOf(platform).commands)
     const { membership } = operators
     this.membership = new Membership(
       {
@@ -138,6 +141,7 @@
       state: this.state,
       cloud: this.cloud,
       exchange: this.exchange,
+      commands: this.commands,
       membership: this.membership,
       fleet: this.fleet,
       book: this.book,
--- a/packages/daemon/src/http.ts
+++ b/packages/daemon/src/http.ts
@@ -1,17 +1,18 @@
-import { Agent, createServer, request as httpRequest, type Server } from "node:http"
+import { createServer, request as httpRequest, type Server } from "node:http"
+import type { Sizes } from "@sorreltally/settings"
 import type { Address, Call, Exchange, Incoming, Log, Outgoing, Reply } from "@sorreltally/wire"
 import { answeredInTime, hostAndPort, NoAnswer } from "@sorreltally/wire"
 import { Effect, Exit } from "effect"
+import { Accepted, ManyHosts, oneService } from "./connections.ts"
 
-/** Longer than any answer is waited for. */
-const IDLE_MS = 20_000
-
-export const httpExchange = (): Exchange["Service"] => {
-  // Sockets are few: one a machine is kept as long as orders come often.
-  const agent = new Agent({ keepAlive: true, maxFreeSockets: 4, timeout: IDLE_MS })
+/** `services` are asked much and often; all other addresses are machines. */
+export const httpExchange = (services: ReadonlyArray<Address>, sizes: Sizes): Exchange["Service"] => {
+  const agents = new Map(services.map((address) => [address, oneService(sizes.services)]))
+  const machines = new ManyHosts(sizes.commands)
   const once = (call: Call): Effect.Effect<Reply, NoAnswer> =>
     Effect.callback<Reply, NoAnswer>((resume) => {
       const { host, port } = hostAndPort(call.address)
+      const agent = agents.get(call.address) ?? machines
       const text = call.body === undefined ? undefined : JSON.stringify(call.body)
       const headers =
         text === undefined
@@ -47,11 +48,15 @@
 export const serveHttp = (
   listen: Address,
   bodyLimit: number,
+  mostConnections: number,
   handle: (request: Incoming) => Effect.Effect<Outgoing>,
   run: <A>(effect: Effect.Effect<A>, onExit: (exit: Exit.Exit<A>) => void) => void,
   log: Log,
 ): Server => {
+  const accepted = new Accepted(mostConnections)
   const server = createServer((incoming, response) => {
+    const { socket } = incoming
+    accepted.works(socket)
     const chunks: Array<Buffer> = []
     let size = 0
     const answer = (outgoing: Outgoing) => {
@@ -62,6 +67,7 @@
         ...(outgoing.retryAfterS === undefined ? {} : { "retry-after": String(outgoing.retryAfterS) }),
       })
       response.end(text)
+      accepted.rests(socket)
     }
     incoming.on("data", (chunk: Buffer) => {
       size += chunk.length
@@ -83,7 +89,11 @@
       })
     })
   })
-  // A connection stays open until one side says otherwise.
+  server.on("connection", (socket) => {
+    accepted.opened(socket)
+    socket.once("close", () => accepted.closed(socket))
+  })
+  // A connection stays open until one side says otherwise, or another needs its place.
   server.keepAliveTimeout = 0
   server.requestTimeout = 30_000
   server.on("error", (cause) => log.error("listener", { cause: String(cause) }))
--- a/packages/daemon/src/service.ts
+++ b/packages/daemon/src/service.ts
@@ -1,6 +1,6 @@
 import { BODY_LIMIT } from "@sorreltally/api"
 import { openSockets } from "@sorreltally/peers"
-import type { Operators, Platform } from "@sorreltally/settings"
+import { type Operators, type Platform, sizesOf } from "@sorreltally/settings"
 import { Exchange, type Log } from "@sorreltally/wire"
 import { Effect } from "effect"
 import { httpExchange, serveHttp } from "./http.ts"
@@ -8,6 +8,13 @@
 
 /** The whole service of one node; runs until its process ends. */
 export const service = (platform: Platform, operators: Operators, log: Log): Effect.Effect<void> =>
+  Effect.suspend(() => {
+    const { state, cloud } = platform.outside
+    const exchange = httpExchange([state, cloud], sizesOf(platform))
+    return Effect.provideService(serving(platform, operators, log), Exchange, exchange)
+  })
+
+const serving = (platform: Platform, operators: Operators, log: Log): Effect.Effect<void, never, Exchange> =>
   Effect.gen(function* () {
     const links = openSockets(
       platform.back,
@@ -19,10 +26,11 @@
     serveHttp(
       platform.listen,
       BODY_LIMIT,
+      sizesOf(platform).inbound,
       node.handle,
       (effect, onExit) => Effect.runCallbackWith(context)(effect, { onExit }),
       log,
     )
     log.info("started", { node: platform.node_name, listen: platform.listen })
     yield* node.run
-  }).pipe(Effect.provideService(Exchange, httpExchange()))
+  })
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -1,2 +1,3 @@
 export * from "./operators.ts"
 export * from "./platform.ts"
+export * from "./sizes.ts"
--- a/packages/settings/src/platform.ts
+++ b/packages/settings/src/platform.ts
@@ -1,6 +1,7 @@
 import { readFileSync } from "node:fs"
 import { Address, NodeName, TeamName, ZoneName } from "@sorreltally/wire"
 import { Data, Result, Schema } from "effect"
+import { unworkable } from "./sizes.ts"
 
 const amount = Schema.Finite.check(Schema.isGreaterThanOrEqualTo(0))
 const positive = Schema.Finite.check(Schema.isGreaterThan(0))
@@ -56,9 +57,13 @@
   } catch (cause) {
     return Result.fail(new BadSettings({ message: `${source}: not JSON: ${(cause as Error).message}` }))
   }
-  return Result.mapError(
-    decode(json),
-    (issue) => new BadSettings({ message: `${source}: ${fieldOf(issue)}` }),
+  const bad = (what: string) => new BadSettings({ message: `${source}: ${what}` })
+  return Result.flatMap(
+    Result.mapError(decode(json), (issue) => bad(fieldOf(issue))),
+    (platform) => {
+      const why = unworkable(platform)
+      return why === null ? Result.succeed(platform) : Result.fail(bad(why))
+    },
   )
 }
 
--- a/packages/settings/test/settings.test.ts
+++ b/packages/settings/test/settings.test.ts
@@ -33,6 +33,13 @@
   const facts = { ...platform.facts, workers: { ...platform.facts.workers, lease_s: "long" } }
   assert.match(check({ ...platform, facts }), /facts\.workers\.lease_s/)
   assert.match(complaint(parsePlatform("{", "s.json")), /s\.json: not JSON/)
+  const few = { ...platform.facts.machine_limits, fd_limit: 60 }
+  assert.match(
+    check({ ...platform, facts: { ...platform.facts, machine_limits: few } }),
+    /fd_limit: 60 sockets are too few/,
+  )
+  const tight = { ...platform.facts.machine_limits, fd_limit: 200, mem_mb: 120 }
+  assert.equal(check({ ...platform, facts: { ...platform.facts, machine_limits: tight } }), "accepted")
 })
 
 test("operators' settings: defaults, sections, and errors that say where", () => {
