--- /dev/null
+++ b/scenarios/stands-still.sexp
@@ -0,0 +1,13 @@
+(scenario "a controller stands still for half a minute, in the middle of an answer, a command, a transaction, a touch and a take-over"
+  (seed 51) (until 420) (capacity 8)
+  (at 1 (repeat-messages 0.03 300 40) (submit pieces 10 cores 4 run 40 due 200) (submit pieces 6 cores 4 run 40))
+  (at 20 (freeze host-0 31 answer)) (at 22 (cancel 1))
+  (at 70 (submit pieces 10 cores 4 run 30 due 200) (submit pieces 6 cores 4 run 30))
+  (at 72 (freeze host-0 33 command) (freeze host-1 12 transaction))
+  (at 130 (submit pieces 10 cores 4 run 30 due 200) (submit pieces 8 cores 2 run 30 owner blue))
+  (at 132 (freeze host-1 32 command)) (at 134 (cancel 4))
+  (at 180 (submit pieces 10 cores 4 run 30 due 200))
+  (at 185 (freeze host-2 30 take-over) (freeze host-1 3 take-over) (crash host-0 0.3))
+  (at 235 (submit pieces 10 cores 4 run 30 due 200))
+  (at 236 (freeze host-0 28 touch) (freeze host-2 7 transaction))
+  (expect (all-over) (served) (begun-within 120)))
