--- a/packages/controller/src/blocks.ts
+++ b/packages/controller/src/blocks.ts
@@ -33,6 +33,8 @@
 const MACHINE_BYTES = 42
 const BLOCK_BYTES = 300
 const PAUSE_MS = 150
+/** With nothing queued there is nothing to look at: every tick of every part is paid by all nodes, all day. */
+const IDLE_MS = 5_000
 /** Machines that are gone can wait for others of their block. */
 const REMOVE_EVERY_MS = 1_500
 
@@ -82,7 +84,8 @@
   readonly run: Effect.Effect<never> = Effect.suspend(() =>
     Effect.forever(
       Effect.gen({ self: this }, function* () {
-        if (this.fresh.length === 0 && !this.editsDue()) yield* this.signal.wait(PAUSE_MS * 2)
+        if (this.fresh.length === 0 && !this.editsDue())
+          yield* this.signal.wait(this.edits.size > 0 ? PAUSE_MS * 2 : IDLE_MS)
         if (!this.active()) return yield* Effect.sleep(PAUSE_MS)
         if (this.fresh.length > 0) yield* this.writeFresh()
         if (this.editsDue()) yield* this.writeEdits()
--- a/packages/controller/src/commits.ts
+++ b/packages/controller/src/commits.ts
@@ -13,7 +13,9 @@
 import { Signal } from "./signal.ts"
 
 const PAUSE_MS = 150
+/** Finishes are looked at this often, nothing is hardly ever. */
 const TICK_MS = 500
+const IDLE_MS = 5_000
 /**
  * Finishes wait for the next starts' write, at most this long: the worker
  * keeps an exited task until it is told to forget it, so a lost finish is told
@@ -71,7 +73,10 @@
       this.finishing.delete(job)
       this.signal.notify()
     } else if (job.unsaved.size > 0 && !this.finishing.has(job)) {
-      if (this.finishing.size === 0) this.finishingSince = this.now()
+      if (this.finishing.size === 0) {
+        this.finishingSince = this.now()
+        this.signal.notify()
+      }
       this.finishing.add(job)
     }
   }
@@ -80,7 +85,7 @@
     Effect.forever(
       Effect.gen({ self: this }, function* () {
         if (this.starts.size === 0 && this.ended.size === 0 && !this.finishesDue())
-          yield* this.signal.wait(TICK_MS)
+          yield* this.signal.wait(this.finishing.size > 0 ? TICK_MS : IDLE_MS)
         if (!this.active()) return yield* Effect.sleep(PAUSE_MS)
         if (this.starts.size > 0 || this.finishesDue()) yield* this.writeSlot()
         if (this.ended.size > 0) yield* this.writeEnds()
--- a/packages/controller/src/controller.ts
+++ b/packages/controller/src/controller.ts
@@ -35,8 +35,11 @@
 import { Fleet } from "./fleet.ts"
 import { InFlight } from "./in-flight.ts"
 import { type Load, Relays } from "./relays.ts"
+import { Signal } from "./signal.ts"
 
 const WANTS_EVERY_MS = 200
+/** Unchanged, they are told again this often: they are forgotten after `WANTS_LAST_MS`. */
+const WANTS_AGAIN_MS = 1_600
 /** Owners tell the others how far their jobs are this often: it is for display only. */
 const COUNTS_EVERY_MS = 2_000
 const WANTS_LAST_MS = 3_500
@@ -66,7 +69,7 @@
   private readonly estimates = new Estimates()
   private readonly commands: InFlight
   private readonly wants = new Map<PartName, { readonly wants: Wants; readonly at: Moment }>()
-  private wantsChanged = false
+  private readonly wantsChanged = new Signal()
   private hires = 0
 
   constructor(
@@ -210,15 +213,14 @@
     const changed = JSON.stringify(before) !== JSON.stringify(wants)
     this.wants.set(part, { wants, at: this.time.moment() })
     if (!changed) return
-    this.wantsChanged = true
+    this.wantsChanged.notify()
     for (const [other, { engine }] of this.engines) if (other !== part) engine.wake()
   }
   private tellWants() {
     return Effect.gen({ self: this }, function* () {
-      for (let round = 0; ; round++) {
+      for (;;) {
         yield* Effect.sleep(WANTS_EVERY_MS)
-        if (!this.wantsChanged && round % 8 !== 0) continue
-        this.wantsChanged = false
+        yield* this.wantsChanged.wait(WANTS_AGAIN_MS - WANTS_EVERY_MS)
         const own = [...this.engines.keys()].map((part) => ({
           part,
           wants: this.wants.get(part)?.wants ?? NO_WANTS,
--- a/packages/controller/src/fleet.ts
+++ b/packages/controller/src/fleet.ts
@@ -21,7 +21,9 @@
 const MOST_PATIENCE = 2
 const kindOf = (type: TypeName, zone: ZoneName, spot: boolean) => `${type}|${zone}|${spot}`
 const CATALOG_EVERY_MS = 30_000
+/** Whoever lists looks this often whether a list is due, the others whether it is for them to list. */
 const LOOK_MS = 300
+const IDLE_MS = 1_000
 /** Share of the cloud's calls that lists may use. */
 const LIST_RATE = 0.25
 
@@ -155,7 +157,7 @@
             this.share(list.success)
           }
         }
-        yield* Effect.sleep(LOOK_MS)
+        yield* Effect.sleep(this.lists() ? LOOK_MS : IDLE_MS)
       }),
     ),
   )
--- a/packages/controller/src/relays.ts
+++ b/packages/controller/src/relays.ts
@@ -25,6 +25,10 @@
 const BACK_SOON_MS = 20_000
 const RELAY_FOR_MS = 30_000
 const TELL_EVERY_MS = 1_000
+/** As long as nothing changes, it is told only every so many times. */
+const TELL_AGAIN = 3
+/** Changes a second that are worth telling. */
+const MUCH = 0.3
 const TOLD_LAST_MS = 5_000
 
 /** Can a node act, and how many changes a second does it make? */
@@ -98,6 +102,8 @@
     { readonly well: boolean; readonly changes: number; readonly at: Moment }
   >()
   private readonly reports: Batches<Report, Outgoing>
+  private said: Load | null = null
+  private untold = 0
 
   constructor(
     private readonly peers: PeerChannel,
@@ -115,8 +121,13 @@
     Effect.forever(
       Effect.gen({ self: this }, function* () {
         yield* Effect.sleep(TELL_EVERY_MS)
-        const told: Load = [this.well(), this.state.usage()]
-        yield* this.peers.tell("load", told)
+        const [well, changes]: Load = [this.well(), this.state.usage()]
+        const { said } = this
+        const news = said === null || said[0] !== well || Math.abs(said[1] - changes) > MUCH
+        if (!news && ++this.untold < TELL_AGAIN) return
+        this.said = [well, changes]
+        this.untold = 0
+        yield* this.peers.tell("load", this.said)
       }),
     ),
   )
--- a/packages/peers/src/channel.ts
+++ b/packages/peers/src/channel.ts
@@ -17,9 +17,10 @@
       readonly t: "ping"
       readonly from: NodeName
       readonly to: NodeName
+      /** Whose pings reach it, and who, besides, says that its own arrive. */
+      readonly receives: ReadonlyArray<NodeName>
       readonly hears: ReadonlyArray<NodeName>
     }
-  | { readonly t: "pong"; readonly from: NodeName; readonly to: NodeName }
   | Letter
 interface Letter {
   readonly t: "ask" | "answer" | "tell"
@@ -48,6 +49,7 @@
   readonly serve: (handler: PeerHandler) => Effect.Effect<void>
 }
 
+/** A ping says whose pings arrive, so that none needs an answer: each word between nodes is paid by both, all day. */
 const PING_MS = 1_000
 const HEARD_MS = 3_200
 
@@ -64,6 +66,7 @@
 ): Effect.Effect<PeerChannel> =>
   Effect.gen(function* () {
     const time = yield* timekeeper
+    const received = new Map<NodeName, Moment>()
     const heard = new Map<NodeName, Moment>()
     const theyHear = new Map<NodeName, ReadonlyArray<NodeName>>()
     const waiting = new Map<number, Deferred.Deferred<unknown>>()
@@ -72,7 +75,13 @@
     const arrived: Array<Letter> = []
     let wake: () => void = () => {}
 
-    const hears = (node: NodeName) => time.moment() < later(heard.get(node) ?? NEVER, HEARD_MS)
+    const lately = (at: Moment | undefined) => time.moment() < later(at ?? NEVER, HEARD_MS)
+    const hears = (node: NodeName) => lately(heard.get(node))
+    const receives = (node: NodeName) => lately(received.get(node))
+    const ping = (nodes: ReadonlyArray<NodeName>) => {
+      const told = { receives: others.filter(receives), hears: others.filter(hears) }
+      for (const to of nodes) emit(to, { t: "ping", from: self, to, ...told })
+    }
     const emit = (via: NodeName, frame: Frame) => links.send(via, pack(frame))
     const post = (letter: Letter) => {
       if (hears(letter.to)) return emit(letter.to, letter)
@@ -86,14 +95,16 @@
       const frame = unpack(bytes) as Frame
       if (frame.to !== self) {
         // We are the third node; a letter is passed on once only.
-        if (frame.t !== "ping" && frame.t !== "pong" && hears(frame.to)) emit(frame.to, frame)
+        if (frame.t !== "ping" && hears(frame.to)) emit(frame.to, frame)
         return
       }
       if (frame.t === "ping") {
         theyHear.set(frame.from, frame.hears)
-        emit(frame.from, { t: "pong", from: self, to: frame.from })
-      } else if (frame.t === "pong") {
-        heard.set(frame.from, time.moment())
+        if (frame.receives.includes(self)) heard.set(frame.from, time.moment())
+        const news = !receives(frame.from)
+        received.set(frame.from, time.moment())
+        // The next round would do, but a node that is back should be of use at once.
+        if (news) ping([frame.from])
       } else if (frame.t === "answer") {
         // An answer meant for an earlier life of this process is nobody's.
         const deferred = frame.life === life ? waiting.get(frame.n) : undefined
@@ -137,8 +148,7 @@
     })
     const pingLoop = Effect.gen(function* () {
       for (;;) {
-        const now = others.filter(hears)
-        for (const to of others) emit(to, { t: "ping", from: self, to, hears: now })
+        ping(others)
         yield* Effect.sleep(PING_MS)
       }
     })
