--- a/packages/controller/src/controller.ts
+++ b/packages/controller/src/controller.ts
@@ -87,6 +87,8 @@
     const keeper: PartKeeper = {
       gained: (part, epoch) => this.gained(part, epoch),
       lost: (part) => this.lost(part),
+      busy: () =>
+        [...this.engines.values()].some(({ engine }) => engine.jobs.size + engine.machines.size > 0),
     }
     this.commands = new InFlight(sizesOf(platform).commands)
     const { membership } = operators
--- a/packages/controller/src/engine.ts
+++ b/packages/controller/src/engine.ts
@@ -56,7 +56,8 @@
   unusedCores,
 } from "./views.ts"
 
-const PLAN_SPACING_MS = 120
+/** A start this much later is felt by no aim; a plan is the dearest thing that a leader does. */
+const PLAN_SPACING_MS = 200
 /** After a plan, everything else has the processor for this many times what the plan took. */
 const PLAN_REST = 4
 const TICK_MS = 1_000
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -30,11 +30,18 @@
 export interface PartKeeper {
   readonly gained: (part: PartName, epoch: Stamp) => void
   readonly lost: (part: PartName) => void
+  /** It has work, and should hear of changes as soon as can be. */
+  readonly busy: () => boolean
 }
 
 const WATCH_BLOCK_MS = 2_000
 /** Share of the state service's requests that all nodes' watches may use. */
 const WATCH_SHARE = 0.3
+/**
+ * A node whose parts have no work watches this much less often: of jobs it
+ * hears by hints, for users it asks anew, and every change is paid by all nodes.
+ */
+const IDLE_WATCH = 3
 /** The watch is how an owner learns of cancellations: an owner that hasn't been told anything this long stops acting. */
 const WATCH_FRESH_MS = 3 * WATCH_BLOCK_MS
 
@@ -214,7 +221,7 @@
         this.mirror.apply(news.success.changes, news.success.epoch)
         this.freshUntil = later(sent, WATCH_FRESH_MS)
         // Every change wakes every node's watch: what comes in one go costs one request.
-        yield* Effect.sleep(this.watchSpacingMs)
+        yield* Effect.sleep(this.keeper.busy() ? this.watchSpacingMs : IDLE_WATCH * this.watchSpacingMs)
       }
     })
   }
