--- a/packages/planner/src/order.ts
+++ b/packages/planner/src/order.ts
@@ -22,7 +22,11 @@
  * due first; work past saving goes last. Where not all can be in time, jobs
  * are counted, not tasks: the largest wait for the others (`dropped`).
  */
-export const inOrder = (jobs: ReadonlyArray<JobView>, load: Load): ReadonlyArray<JobView> => {
+export const inOrder = (jobs: ReadonlyArray<JobView>, load: Load): ReadonlyArray<JobView> =>
+  inTiers(jobs, load).flat()
+
+/** The same, by what mustn't be changed for anything: rank, and who is past saving or waits for the others. */
+export const inTiers = (jobs: ReadonlyArray<JobView>, load: Load): ReadonlyArray<ReadonlyArray<JobView>> => {
   const keyed = jobs.map((job) => ({
     job,
     hopeless: isHopeless(job) ? 1 : 0,
@@ -40,7 +44,14 @@
   dropLargest(keyed, load)
   // Stable: within each group the order stays.
   keyed.sort((a, b) => b.job.rank - a.job.rank || a.hopeless - b.hopeless || a.dropped - b.dropped)
-  return keyed.map(({ job }) => job)
+  const tiers = new Map<string, Array<JobView>>()
+  for (const { job, hopeless, dropped } of keyed) {
+    const name = `${job.rank}|${hopeless}|${dropped}`
+    const tier = tiers.get(name)
+    if (tier === undefined) tiers.set(name, [job])
+    else tier.push(job)
+  }
+  return [...tiers.values()]
 }
 
 interface Keyed {
--- a/packages/planner/src/plan.ts
+++ b/packages/planner/src/plan.ts
@@ -18,7 +18,7 @@
   type Unplaced,
   zoneAllowance,
 } from "./model.ts"
-import { inOrder } from "./order.ts"
+import { inTiers } from "./order.ts"
 
 /** Seconds of fetching that other work rather takes than room beside the reserve's images. */
 const RESERVED_S = 4
@@ -68,7 +68,8 @@
 }
 
 export const plan = (snapshot: Snapshot): Plan => {
-  const jobs = inOrder(snapshot.jobs, snapshot.load())
+  const tiers = inTiers(snapshot.jobs, snapshot.load())
+  const jobs = tiers.flat()
   const placements: Array<PlannedPlacement> = []
   const holders = new Map<MachineId, JobId | null>()
   const queued = new Map<JobId, number>(jobs.map((j) => [j.id, j.queued]))
@@ -90,17 +91,22 @@
   const floor: Floor = { kinds: byKind(up), spare: spareCores(snapshot.machines, snapshot.reserve) }
   // A job may be looked at twice: where its tasks are counts those placed a moment ago.
   const zones = new Map<JobId, Map<ZoneName, number>>()
-  const place = (job: JobView, most: number) => {
+  const place = (job: JobView, most: number, cached = false) => {
     const left = queued.get(job.id) ?? 0
     if (!job.mayStart || left === 0) return
     const inZones = zones.get(job.id) ?? new Map(job.zones)
     zones.set(job.id, inZones)
-    const placed = placeJob(job, Math.min(left, most), inZones, floor, snapshot, placements)
+    const placed = placeJob(job, Math.min(left, most), cached, inZones, floor, snapshot, placements)
     queued.set(job.id, left - placed)
     running.set(job.id, (running.get(job.id) ?? 0) + placed)
   }
   for (const job of jobs) if (waitsTooLong(job)) place(job, Math.ceil(job.queued * TO_BEGIN))
-  for (const job of jobs) place(job, job.queued)
+  for (const tier of tiers) {
+    for (const run of runsOf(tier, canWait)) {
+      if (run.length > 1) for (const job of run) place(job, job.queued, true)
+      for (const job of run) place(job, job.queued)
+    }
+  }
 
   let ahead = 0
   let steadyWanted = false
@@ -138,6 +144,32 @@
   }
 }
 
+/**
+ * A job without a deadline that has this much time to start in lets others go
+ * before it on machines that have their image: where one task ends, its image's
+ * next one begins at once, instead of both jobs fetching on each other's
+ * machines. Deadlines are missed by a job's last task: those jobs keep their order.
+ */
+const YIELDS_S = 15
+const canWait = (job: JobView): boolean => {
+  const withinS = startsWithinS(job)
+  return job.timeLeftS === null && (withinS === null || withinS > YIELDS_S)
+}
+/** Neighbours that pass, together; all others alone. */
+const runsOf = <A>(all: ReadonlyArray<A>, passes: (one: A) => boolean): ReadonlyArray<ReadonlyArray<A>> => {
+  const runs: Array<Array<A>> = []
+  let open: Array<A> | null = null
+  for (const one of all) {
+    const joins = passes(one)
+    if (joins && open !== null) open.push(one)
+    else {
+      runs.push([one])
+      open = joins ? runs.at(-1)! : null
+    }
+  }
+  return runs
+}
+
 const waitsTooLong = (job: JobView): boolean => job.unbegun && job.queued > 0 && job.ageS > WAITED_LONG_S
 
 /** How many more tasks the job's team may start. */
@@ -202,6 +234,8 @@
 const placeJob = (
   job: JobView,
   most: number,
+  /** Only where its image is. */
+  cached: boolean,
   zones: Map<ZoneName, number>,
   floor: Floor,
   snapshot: Snapshot,
@@ -219,6 +253,7 @@
     if (only !== null && kind.zone !== only) continue
     for (const slot of kind.slots) {
       if (!fits(request, slot.free)) continue
+      if (cached && !slot.machine.images.has(request.bundle)) continue
       const kept = below && slot.reserved
       if (kept && floor.spare < request.cores) continue
       const lendable = snapshot.othersWait && slot.machine.busyTasks === 0
--- a/packages/planner/test/plan.test.ts
+++ b/packages/planner/test/plan.test.ts
@@ -93,3 +93,22 @@
   assert.deepEqual([...on(false)], ["i-2"])
   assert.deepEqual([...on(true)], ["i-1"])
 })
+
+// Guards against fetching on each other's machines, and against letting pressing work wait for it.
+test("a job that can wait leaves a machine to one whose image is there; a pressing one doesn't", () => {
+  const cached = { ...machine("i-1", "a"), free: { ...type, cores: 1 }, images: new Set(["theirs"]) }
+  const theirs = { ...request, bundle: "theirs" } as unknown as JobRequest
+  const placed = (first: Partial<JobView>) =>
+    plan(
+      snapshot(
+        [
+          job({ id: "run-000001" as JobId, startWithinS: 40, ...first }),
+          job({ id: "run-000002" as JobId, startWithinS: 60, request: theirs }),
+        ],
+        [cached as unknown as MachineView],
+      ),
+    ).placements.map((p) => p.job)
+  assert.deepEqual(placed({}), ["run-000002"])
+  assert.deepEqual(placed({ startWithinS: 10 }), ["run-000001"])
+  assert.deepEqual(placed({ timeLeftS: 40 }), ["run-000001"])
+})
