--- a/packages/testkit/src/scenario.ts
+++ b/packages/testkit/src/scenario.ts
@@ -166,6 +166,13 @@
   "state-requests-at-most": (world, args) => atMost("requests", world.state.count.requests, args),
   "state-changes-at-most": (world, args) => atMost("changes", world.state.count.changes, args),
   "cloud-calls-at-most": (world, args) => atMost("calls of the cloud", world.cloud.calls, args),
+  "peer-kilobytes-at-most": (world, args) =>
+    atMost("kilobytes between controllers", Math.round(world.count.peerBytes / 1024), args),
+  "commands-at-once-at-most": (world, args) => atMost("commands at once", world.count.commandsAtOnce, args),
+  "workers-at-one-node-at-least": (world, args) =>
+    world.count.workersAtOne >= number(args, 0, 0)
+      ? null
+      : `${world.count.workersAtOne} workers at one node, not ${args[0]}`,
   "rented-at-least": (world, args) =>
     world.cloud.rented >= number(args, 0, 0) ? null : `${world.cloud.rented} machines rented, not ${args[0]}`,
   "no-machine": (world) => expectations["machines-at-most"]!(world, ["0"]),
@@ -234,7 +241,8 @@
       const [, ...args] = words(entry)
       if (what === "until") untilS = Number(args[0])
       else if (what === "zones") setup = { ...setup, zones: args }
-      else if (["seed", "nodes", "capacity"].includes(what)) setup = { ...setup, [what]: Number(args[0]) }
+      else if (["seed", "nodes", "capacity", "sockets"].includes(what))
+        setup = { ...setup, [what]: Number(args[0]) }
       else if (what === "state-limits")
         setup = { ...setup, stateRps: Number(args[0]), stateWrites: Number(args[1]) }
       else if (what === "team-limit") setup = { ...setup, teamMax: Number(args[0]) }
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -10,6 +10,7 @@
   type MachineType,
   NoAnswer,
   type NodeName,
+  type Reply,
 } from "@sorreltally/wire"
 import { Effect, Exit, Random } from "effect"
 import { Cloud } from "./cloud.ts"
@@ -29,6 +30,8 @@
   /** Requests and changes a second that the state service takes. */
   readonly stateRps: number
   readonly stateWrites: number
+  /** That a controller may have open. */
+  readonly sockets: number
 }
 export const usualSetup: Setup = {
   seed: 1,
@@ -39,6 +42,7 @@
   teamMax: 64,
   stateRps: 200,
   stateWrites: 60,
+  sockets: 2500,
 }
 
 const WORKERS = { report_s: 3, lease_s: 27, cancel_s: 47 }
@@ -64,6 +68,10 @@
   readonly jobs: Array<JobId> = []
   readonly logged: Array<string> = []
   private births = 0
+  /** Bytes between controllers, the most commands under way at one, the most machines that reported to one last. */
+  readonly count = { peerBytes: 0, commandsAtOnce: 0, workersAtOne: 0 }
+  private readonly reportsTo = new Map<string, NodeName>()
+  private readonly workersAt = new Map<NodeName, number>()
 
   constructor(readonly setup: Setup) {
     this.sim = new Sim(setup.seed)
@@ -92,7 +100,7 @@
   }
 
   private platform(index: number): Platform {
-    const { zones, teamMax, stateRps, stateWrites } = this.setup
+    const { zones, teamMax, stateRps, stateWrites, sockets } = this.setup
     const peers = this.names
       .filter((_, i) => i !== index)
       .map((name) => ({ node_name: name, area: zones[0]!, peer_addr: `${name}:1` }))
@@ -113,7 +121,7 @@
         workers: WORKERS,
         state: { rps: stateRps, write_rps: stateWrites, value_kb: 4, txn_ops: 8 },
         cloud: { rps: 6, list_lag_s: 3 },
-        machine_limits: { cores: 0.4, mem_mb: 300, fd_limit: 2500 },
+        machine_limits: { cores: 0.4, mem_mb: 300, fd_limit: sockets },
         time_bound_ms: 1000,
       },
     } as unknown as Platform
@@ -143,6 +151,7 @@
     const links: Links = {
       send: (to, frame) => {
         const bytes = Uint8Array.from(frame)
+        this.count.peerBytes += bytes.length
         const deliver = () => {
           const life = this.lives.get(to)
           life?.process.whenAwake(() => life.hear.receive?.(bytes))
@@ -153,16 +162,25 @@
         hear.receive = handler
       },
     }
+    let commands = 0
     const exchange = answeredInTime((call) =>
-      Effect.callback((resume) => {
+      Effect.callback<Reply, NoAnswer>((resume) => {
         const to = call.address.slice(0, call.address.lastIndexOf(":"))
         const request = { method: call.method, path: call.path, body: call.body }
+        const command = call.path === "/orders"
+        if (command) this.count.commandsAtOnce = Math.max(this.count.commandsAtOnce, ++commands)
         const done = (answer: Answer | null) =>
           process.whenAwake(() =>
             resume(answer === null ? Effect.fail(new NoAnswer({ reason: "reset" })) : Effect.succeed(answer)),
           )
         send(sendingOf(request), () => this.net.request(name, to, request, done))
-      }),
+      }).pipe(
+        Effect.ensuring(
+          Effect.sync(() => {
+            if (call.path === "/orders") commands--
+          }),
+        ),
+      ),
     )
     const log = (level: string) => (message: string, facts?: Record<string, unknown>) => {
       if (!process.alive() || (level === "debug" && globalThis.process.env.VERBOSE !== "debug")) return
@@ -177,7 +195,8 @@
     const dress = <A>(effect: Effect.Effect<A, never, Exchange>) => Random.withSeed(inside(effect), seed)
     const born = (node: Node) => {
       Effect.runCallback(dress(node.run))
-      this.net.listen(name, (request, _from, answer) => {
+      this.net.listen(name, (request, from, answer) => {
+        if (request.path === "/v1/report") this.reported(from, name)
         process.whenAwake(() => {
           const incoming = { method: request.method, path: request.path, body: JSON.stringify(request.body) }
           Effect.runCallback(inside(node.handle(incoming)), {
@@ -198,6 +217,16 @@
     })
   }
 
+  private reported(machine: string, to: NodeName): void {
+    const before = this.reportsTo.get(machine)
+    if (before === to) return
+    this.reportsTo.set(machine, to)
+    if (before !== undefined) this.workersAt.set(before, this.workersAt.get(before)! - 1)
+    const there = (this.workersAt.get(to) ?? 0) + 1
+    this.workersAt.set(to, there)
+    this.count.workersAtOne = Math.max(this.count.workersAtOne, there)
+  }
+
   crash(name: NodeName, backAfterMs: number): void {
     this.lives.get(name)?.process.kill()
     this.lives.delete(name)
