--- a/packages/controller/src/engine.ts
+++ b/packages/controller/src/engine.ts
@@ -41,6 +41,7 @@
 import { BlockWriter } from "./blocks.ts"
 import { Commits } from "./commits.ts"
 import type { EngineContext, PartView, Tenancy } from "./context.ts"
+import { HeldReports } from "./held.ts"
 import { preempt } from "./preempt.ts"
 import { RENTAL_SIZE, Rentals } from "./rentals.ts"
 import { Shares } from "./shares.ts"
@@ -73,8 +74,6 @@
 /** Needs told to the other parts: the most urgent ones. */
 const NEEDS_TOLD = 4
 const ATTEMPTS_PER_EPOCH = 2 ** 20
-/** A report is answered after this long whatever it waits for: its worker waits 4 s. */
-const MOST_HELD_MS = 700
 const NOTHING: TeamRoom = { cores: 0, accelerators: 0 }
 const NOT_OURS: Outgoing = { status: 503, body: {} }
 
@@ -103,11 +102,7 @@
   private reserveRank = Number.NEGATIVE_INFINITY
   private steadyWantedAt: Moment = NEVER
   private attempts = 0
-  /** Reports that wait for the next plan. */
-  private readonly held = new Map<
-    WorkerSession,
-    { readonly since: Moment; readonly done: (answer: Outgoing) => void }
-  >()
+  private readonly held: HeldReports
   private roomChanges = 0
   private workWaits = false
   private lookedAt: Moment = NEVER
@@ -124,6 +119,7 @@
   ) {
     const { state, membership, book, time, platform } = ctx
     const active = () => this.ready && this.active
+    this.held = new HeldReports(time.moment, (session) => this.answer(session))
     this.shares = new Shares(part, epoch, platform.facts.teams, membership.mirror, state, time.moment, () =>
       this.planSignal.notify(),
     )
@@ -148,7 +144,7 @@
   stop(): void {
     this.over = true
     this.ready = false
-    for (const session of this.held.keys()) this.letGo(session, NOT_OURS)
+    this.held.letAllGo(NOT_OURS)
     for (const deaf of this.deaf) deaf()
   }
   wake(): void {
@@ -337,28 +333,11 @@
       const session = this.heard(body)
       if (session === null) return Effect.succeed(NOT_OURS)
       // Its worker gave that one up.
-      this.letGo(session, NOT_OURS)
+      this.held.letGo(session, NOT_OURS)
       if (this.roomChanges === before || !this.workWaits) return Effect.succeed(this.answer(session))
-      return Effect.callback<Outgoing>((resume) => {
-        const done = (answer: Outgoing) => resume(Effect.succeed(answer))
-        this.held.set(session, { since: this.ctx.time.moment(), done })
-      })
+      return this.held.hold(session)
     })
   }
-  private letGo(session: WorkerSession, answer: Outgoing): void {
-    const held = this.held.get(session)
-    this.held.delete(session)
-    held?.done(answer)
-  }
-  /** Answers the reports that wait for nothing any more. */
-  private answerHeld(): void {
-    const waitedEnough = later(this.ctx.time.moment(), -MOST_HELD_MS)
-    for (const [session, { since }] of this.held) {
-      let writing = false
-      for (const placement of session.placements.values()) writing ||= !placement.durable
-      if (!writing || since < waitedEnough) this.letGo(session, this.answer(session))
-    }
-  }
 
   /** Takes a report in; null when we may not act for its machine, or it is a late copy. */
   private heard(body: Report): WorkerSession | null {
@@ -488,7 +467,7 @@
       this.mustWait = this.ctx.commands.full
       if (this.mustWait) return
       if (this.held.has(session)) {
-        this.letGo(session, this.answer(session))
+        this.held.answerNow(session)
         continue
       }
       if (session.ordersInFlight || session.address === null || session.tenure === null) continue
@@ -570,7 +549,7 @@
           this.pushOrders()
           this.logStatus(began)
         }
-        this.answerHeld()
+        this.held.answerReady()
         // Reports, grants and health checks must not wait for plans.
         const tookMs = this.ctx.time.moment() - began
         yield* Effect.sleep(Math.max(PLAN_SPACING_MS, PLAN_REST * tookMs))
--- /dev/null
+++ b/packages/controller/src/held.ts
@@ -0,0 +1,54 @@
+import { later, type Moment, type Outgoing } from "@sorreltally/wire"
+import type { WorkerSession } from "@sorreltally/workers"
+import { Effect } from "effect"
+
+/** A report is answered after this long whatever it waits for: its worker waits 4 s. */
+const MOST_HELD_MS = 700
+
+/**
+ * Reports that wait for the next plan, so that what then starts goes along
+ * with their answers. At most one a worker: another means that it gave the
+ * first one up.
+ */
+export class HeldReports {
+  private readonly held = new Map<
+    WorkerSession,
+    { readonly since: Moment; readonly done: (answer: Outgoing) => void }
+  >()
+
+  constructor(
+    private readonly now: () => Moment,
+    /** Made when it is sent: what was so when the report came may not be so any more. */
+    private readonly answer: (session: WorkerSession) => Outgoing,
+  ) {}
+
+  has(session: WorkerSession): boolean {
+    return this.held.has(session)
+  }
+  hold(session: WorkerSession): Effect.Effect<Outgoing> {
+    return Effect.callback<Outgoing>((resume) => {
+      const done = (answer: Outgoing) => resume(Effect.succeed(answer))
+      this.held.set(session, { since: this.now(), done })
+    })
+  }
+  answerNow(session: WorkerSession): void {
+    this.letGo(session, this.answer(session))
+  }
+  /** Those that wait for nothing any more, or for long enough. */
+  answerReady(): void {
+    const waitedEnough = later(this.now(), -MOST_HELD_MS)
+    for (const [session, { since }] of this.held) {
+      let writing = false
+      for (const placement of session.placements.values()) writing ||= !placement.durable
+      if (!writing || since < waitedEnough) this.answerNow(session)
+    }
+  }
+  letGo(session: WorkerSession, answer: Outgoing): void {
+    const held = this.held.get(session)
+    this.held.delete(session)
+    held?.done(answer)
+  }
+  letAllGo(answer: Outgoing): void {
+    for (const session of this.held.keys()) this.letGo(session, answer)
+  }
+}
