--- a/packages/planner/src/plan.ts
+++ b/packages/planner/src/plan.ts
@@ -145,16 +145,15 @@
 }
 
 /**
- * A job without a deadline that has this much time to start in lets others go
- * before it on machines that have their image: where one task ends, its image's
- * next one begins at once, instead of both jobs fetching on each other's
- * machines. Deadlines are missed by a job's last task: those jobs keep their order.
+ * A job without a deadline that has more than this part of its time to start
+ * left lets others go before it on machines that have their image: where one
+ * task ends, its image's next one begins at once, instead of both jobs fetching
+ * on each other's machines. What is judged by a job's last task, deadlines
+ * and the time when it is done, keeps its order.
  */
-const YIELDS_S = 15
-const canWait = (job: JobView): boolean => {
-  const withinS = startsWithinS(job)
-  return job.timeLeftS === null && (withinS === null || withinS > YIELDS_S)
-}
+const YIELDS = 0.5
+const canWait = ({ timeLeftS, startWithinS, ageS }: JobView): boolean =>
+  timeLeftS === null && startWithinS !== null && ageS < startWithinS * (1 - YIELDS)
 /** Neighbours that pass, together; all others alone. */
 const runsOf = <A>(all: ReadonlyArray<A>, passes: (one: A) => boolean): ReadonlyArray<ReadonlyArray<A>> => {
   const runs: Array<Array<A>> = []
