--- a/packages/controller/src/engine.ts
+++ b/packages/controller/src/engine.ts
@@ -57,8 +57,7 @@
   unusedCores,
 } from "./views.ts"
 
-/** A plan is the dearest thing that a leader does by itself; a start this much later is hardly felt. */
-const PLAN_SPACING_MS = 150
+const PLAN_SPACING_MS = 120
 /** After a plan, everything else has the processor for this many times what the plan took. */
 const PLAN_REST = 4
 const TICK_MS = 1_000
