Move the stand-in's users into a module of their own

No change of behaviour: submissions, polls, cancellations and their counts leave the deployment's module, so that the users' side can grow apart from machines and network.

--- a/packages/testkit/src/once.ts
+++ b/packages/testkit/src/once.ts
@@ -8,7 +8,7 @@
 ).run()
 if (process.env.VERBOSE !== undefined) process.stdout.write(`${world.logged.join("\n")}\n`)
 if (process.env.VERBOSE !== undefined) {
-  for (const id of world.jobs) {
+  for (const id of world.users.jobs) {
     const state = world.rules.state(id)
     if (state !== "done" && state !== "withdrawn")
       process.stdout.write(`${id} ${state} ${world.stored(id)}\n`)
--- a/packages/testkit/src/scenario.ts
+++ b/packages/testkit/src/scenario.ts
@@ -54,22 +54,23 @@
 
 let jobCount = 0
 type Action = (world: World, args: Args) => void
-const job = (world: World, args: Args): JobId => world.jobs[number(args, 0, 0)]!
+const job = (world: World, args: Args): JobId => world.users.jobs[number(args, 0, 0)]!
 const node = (args: Args): NodeName => args[0] as NodeName
 const mode = (args: Args, at: number) => (args[at] ?? "hold") as "hold" | "drop" | "reset"
 
 /** Everything a scenario can make happen. Times are in seconds. */
 const actions: Record<string, Action> = {
-  submit: (world, args) => world.submit(jobFrom(`run-${String(++jobCount).padStart(6, "0")}` as JobId, args)),
+  submit: (world, args) =>
+    world.users.submit(jobFrom(`run-${String(++jobCount).padStart(6, "0")}` as JobId, args)),
   /** Many jobs: how many, over how many seconds, then what each is like. */
   stream: (world, args) => {
     const [count, overS] = [number(args, 0, 10), number(args, 1, 10)]
     for (let i = 0; i < count; i++)
       world.sim.after((i * overS * 1000) / count, () => actions["submit"]!(world, args.slice(2)))
   },
-  resubmit: (world, args) => world.resubmit(job(world, args)),
-  cancel: (world, args) => world.cancel(job(world, args)),
-  "ask-about-nobody": (world) => world.askAboutNobody(),
+  resubmit: (world, args) => world.users.resubmit(job(world, args)),
+  cancel: (world, args) => world.users.cancel(job(world, args)),
+  "ask-about-nobody": (world) => world.users.askAboutNobody(),
   crash: (world, args) => world.crash(node(args), number(args, 1, 4) * 1000),
   "crash-all": (world, args) => {
     for (const name of world.names) world.crash(name, number(args, 0, 4) * 1000)
@@ -135,11 +136,11 @@
 /** What a scenario can ask for at its end, besides unbroken rules. */
 const expectations: Record<string, (world: World, args: Args) => string | null> = {
   done: (world, args) => {
-    const { done } = world.counts()
+    const { done } = world.users.counts()
     return done >= number(args, 0, 1) ? null : `${done} jobs are done, expected ${args[0]}`
   },
   "all-over": (world) => {
-    const { done, withdrawn, jobs } = world.counts()
+    const { done, withdrawn, jobs } = world.users.counts()
     return done + withdrawn === jobs ? null : `${done} done and ${withdrawn} withdrawn of ${jobs} jobs`
   },
   /** At least half of every class and team is done. */
@@ -152,7 +153,7 @@
     return late.length === 0 ? null : `nothing began within ${args[0]} s of ${late.join(", ")}`
   },
   withdrawn: (world, args) => {
-    const { withdrawn } = world.counts()
+    const { withdrawn } = world.users.counts()
     return withdrawn >= number(args, 0, 1) ? null : `${withdrawn} jobs are withdrawn, expected ${args[0]}`
   },
   "starts-at-most": (world, args) =>
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -5,7 +5,6 @@
   answeredInTime,
   Exchange,
   type JobId,
-  type JobRequest,
   type Log,
   type MachineType,
   NoAnswer,
@@ -19,6 +18,7 @@
 import { Rules } from "./rules.ts"
 import { type Process, Sim } from "./sim.ts"
 import { StateService } from "./state.ts"
+import { Users } from "./users.ts"
 
 export interface Setup {
   readonly seed: number
@@ -63,9 +63,9 @@
   readonly rules: Rules
   readonly state: StateService
   readonly cloud: Cloud
+  readonly users: Users
   readonly names: ReadonlyArray<NodeName>
   private readonly lives = new Map<NodeName, Life>()
-  readonly jobs: Array<JobId> = []
   readonly logged: Array<string> = []
   private births = 0
   /** Bytes between controllers, the most commands under way at one, the most machines that reported to one last. */
@@ -91,6 +91,7 @@
       times: WORKERS,
       neverBoots: setup.neverBoots,
     })
+    this.users = new Users(this.sim, this.net, this.rules, this.names)
     for (let i = 0; i < setup.nodes; i++) this.sim.after(i * 150, () => this.start(this.names[i]!))
     const look = () => {
       this.rules.look()
@@ -339,77 +340,11 @@
     }
   }
 
-  // --- users ------------------------------------------------------------------
-
-  private ask(
-    method: string,
-    path: string,
-    body: unknown,
-    done: (status: number, body: unknown, asked: number) => void,
-  ): void {
-    const asked = this.sim.now
-    let over = false
-    const finish = (status: number, answer: unknown) => {
-      if (over) return
-      over = true
-      done(status, answer, asked)
-    }
-    this.sim.after(5_000, () => finish(0, null))
-    this.net.request("users", this.sim.luck.pick(this.names), { method, path, body }, (answer) =>
-      finish(answer?.status ?? 0, answer?.body),
-    )
-  }
-
-  submit(request: JobRequest): void {
-    this.rules.asksToRun(request)
-    this.jobs.push(request.id)
-    const attempt = () =>
-      this.ask("POST", "/v1/jobs", request, (status, body, asked) => {
-        this.rules.answered(request.id, "submit", status, stateOf(body), asked)
-        if (status === 200 || status === 201) this.poll(request.id)
-        else if (status !== 400 && status !== 422) this.sim.after(1_000, attempt)
-      })
-    attempt()
-  }
-  /** A repeated submission, at any later time. */
-  resubmit(id: JobId): void {
-    const request = this.rules.submitted.get(id)!
-    this.ask("POST", "/v1/jobs", request, (status, body, asked) =>
-      this.rules.answered(id, "submit", status, stateOf(body), asked),
-    )
-  }
-  private poll(id: JobId): void {
-    const again = () => {
-      this.ask("GET", `/v1/jobs/${id}`, null, (status, body, asked) => {
-        this.rules.answered(id, "poll", status, stateOf(body), asked)
-        this.sim.after(5_000, again)
-      })
-    }
-    this.sim.after(this.sim.luck.between(500, 5_000), again)
-  }
-  cancel(id: JobId): void {
-    this.rules.asksToCancel(id)
-    this.ask("POST", `/v1/jobs/${id}/cancel`, {}, (status, body, asked) => {
-      this.rules.answered(id, "cancel", status, stateOf(body), asked)
-      if (status !== 200) this.sim.after(1_000, () => this.cancel(id))
-    })
-  }
-  askAboutNobody(): void {
-    const id = "run-999999"
-    this.ask("GET", `/v1/jobs/${id}`, null, (status, body, asked) =>
-      this.rules.answered(id, "poll", status, stateOf(body), asked),
-    )
-  }
   /** What the state service holds of a job, for a look from outside. */
   stored(id: JobId): string {
     const of = [...this.state.keys].filter(([path]) => path.includes(id) || path.startsWith("s/quota/"))
     return JSON.stringify(of.map(([path, { v }]) => [path, v]))
   }
-  counts(): { readonly done: number; readonly withdrawn: number; readonly jobs: number } {
-    const states = this.jobs.map((id) => this.rules.state(id))
-    const done = states.filter((s) => s === "done").length
-    return { done, withdrawn: states.filter((s) => s === "withdrawn").length, jobs: this.jobs.length }
-  }
 }
 
 const sendingOf = ({ path, body }: Request): Sending | null => {
@@ -419,7 +354,6 @@
   const { apply } = body as { apply: ReadonlyArray<{ readonly set?: string }> }
   return apply.some(({ set }) => set?.startsWith("s/part/") === true) ? "take-over" : "transaction"
 }
-const stateOf = (body: unknown): string | null => (body as { status?: string } | null)?.status ?? null
 
 const machineType = (
   name: string,
