Stand-in: late transactions, lost answers, close polls, odd requests, rules across nodes

The stand-in of the state service holds transactions back until after newer ones of the same controller, loses the answers of carried out ones, and answers slowly; users poll all nodes within milliseconds of an event, cancel in bursts and at the end of a job's last task, and send what no node may accept. What happened is counted, so that a scenario can ask that troubles met.

The users' rules compare every answer with all that any node had told before the question was asked, by the millisecond: until now each answer overwrote the moment of the one before, so an older answer could pass. A question about a job that stays unanswered for 75 s counts for cancelled jobs too. Polls wait for 2 s as the protocol says.

--- a/packages/testkit/src/once.ts
+++ b/packages/testkit/src/once.ts
@@ -9,7 +9,7 @@
 if (process.env.VERBOSE !== undefined) process.stdout.write(`${world.logged.join("\n")}\n`)
 if (process.env.VERBOSE !== undefined) {
   for (const id of world.users.jobs) {
-    const state = world.rules.state(id)
+    const state = world.rules.users.state(id)
     if (state !== "done" && state !== "withdrawn")
       process.stdout.write(`${id} ${state} ${world.stored(id)}\n`)
   }
--- a/packages/testkit/src/rules.ts
+++ b/packages/testkit/src/rules.ts
@@ -1,6 +1,7 @@
 import type { Team } from "@sorreltally/settings"
 import type { JobRequest, MachineType } from "@sorreltally/wire"
 import type { Sim } from "./sim.ts"
+import { UserRules } from "./user-rules.ts"
 
 export interface OnMachine {
   readonly machine: string
@@ -9,32 +10,38 @@
   readonly spot: boolean
 }
 
-const FORGOTTEN_MS = 75_000
+/** How long after a confirmed cancellation a task may still start, with no trouble on or just over. */
+const LATE_START_MS = 3_000
+const TROUBLE_LINGERS_MS = 30_000
 
 /** Checks the protocol's rules at every step of a simulated day. */
 export class Rules {
   readonly broken: Array<string> = []
-  readonly submitted = new Map<string, JobRequest>()
-  private readonly told = new Map<string, { readonly state: string; readonly at: number }>()
-  private readonly cancelledAt = new Map<string, number>()
-  private readonly askedToCancel = new Set<string>()
-  private readonly places = new Map<string, OnMachine>()
-  private readonly doneTasks = new Map<string, Set<number>>()
+  readonly users: UserRules
+  private readonly places = new Map<string, OnMachine & { readonly since: number }>()
   /** CPUs by team. */
   private readonly used = new Map<string, number>()
   starts = 0
+  /** Starts of jobs whose user had been told before that they are cancelled. */
+  startsAfterCancellation = 0
   /** No trouble is under way after this. */
   quietFrom = 0
-  private readonly submittedAt = new Map<string, number>()
-  private readonly begunAt = new Map<string, number>()
-  private readonly lastWord = new Map<string, number>()
+  readonly begunAt = new Map<string, number>()
+  /** Told when a job's last task has completed, at that very moment. */
+  readonly onComplete: Array<(job: string) => void> = []
 
   constructor(
     private readonly sim: Sim,
     private readonly teams: ReadonlyArray<Team>,
     private readonly types: ReadonlyArray<MachineType>,
     private readonly cancelS: number,
-  ) {}
+  ) {
+    this.users = new UserRules(sim, (rule, what) => this.say(rule, what))
+  }
+
+  get submitted(): ReadonlyMap<string, JobRequest> {
+    return this.users.submitted
+  }
 
   private say(rule: string, what: string): void {
     this.broken.push(`${rule} at ${(this.sim.now / 1000).toFixed(1)} s: ${what}`)
@@ -49,6 +56,7 @@
     const other = this.places.get(task)
     if (other !== undefined) this.say("ran_twice", `${task} on ${at.machine} while on ${other.machine}`)
     this.checkCancelled(task, job)
+    this.checkStart(task, job)
     const type = this.types.find((t) => t.name === at.type)
     const wrong =
       (request.builds != null && !request.builds.some((b) => b === at.type)) ||
@@ -67,7 +75,7 @@
         `${task} on ${at.machine} (${at.type}, ${at.zone}, ${at.spot ? "spot" : "steady"})`,
       )
     }
-    this.places.set(task, at)
+    this.places.set(task, { ...at, since: this.sim.now })
     const used = (this.used.get(request.owner) ?? 0) + (other === undefined ? request.cores : 0)
     this.used.set(request.owner, used)
     const team = this.teams.find((t) => t.name === request.owner)!
@@ -80,99 +88,51 @@
     this.used.set(owner, this.used.get(owner)! - cores)
   }
   finished(job: string, index: number): void {
-    const done = this.doneTasks.get(job) ?? new Set()
-    this.doneTasks.set(job, done.add(index))
+    const before = this.users.isComplete(job)
+    this.users.finished(job, index)
+    if (before || !this.users.isComplete(job)) return
+    for (const told of this.onComplete) told(job)
   }
   isFinished(job: string, index: number): boolean {
-    return this.doneTasks.get(job)?.has(index) === true
+    return this.users.isFinished(job, index)
+  }
+  /** Machines on which tasks of the job are. */
+  machinesOf(job: string): ReadonlySet<string> {
+    const on = [...this.places].filter(([task]) => task.startsWith(`${job}/`))
+    return new Set(on.map(([, { machine }]) => machine))
   }
 
+  /** Running jobs of which some task should run on for this long, by what is left; nobody cancelled them. */
+  jobsWithLongToGo(leastS: number): ReadonlyArray<string> {
+    const left = new Map<string, number>()
+    for (const [task, { since }] of this.places) {
+      const job = task.slice(0, task.indexOf("/"))
+      if (this.users.askedToCancel.has(job)) continue
+      const leftS = this.submitted.get(job)!.expected_s - (this.sim.now - since) / 1000
+      if (leftS >= leastS) left.set(job, Math.max(leftS, left.get(job) ?? 0))
+    }
+    return [...left].sort(([, a], [, b]) => b - a).map(([job]) => job)
+  }
+
+  /** After a confirmed cancellation no task starts; what was under way to its machine is soon stopped. */
+  private checkStart(task: string, job: string): void {
+    const at = this.users.cancelledAt.get(job)
+    if (at === undefined) return
+    this.startsAfterCancellation++
+    const quiet = this.sim.now > this.quietFrom + TROUBLE_LINGERS_MS
+    if (quiet && this.sim.now > at + LATE_START_MS) this.say("started_cancelled", task)
+  }
   private checkCancelled(task: string, job: string): void {
-    const at = this.cancelledAt.get(job)
+    const at = this.users.cancelledAt.get(job)
     if (at !== undefined && this.sim.now > at + this.cancelS * 1000) this.say("ran_cancelled", task)
   }
   /** A trouble begins, and lasts that long. */
   trouble(forMs: number): void {
     this.quietFrom = Math.max(this.quietFrom, this.sim.now + forMs)
   }
-  asksToRun(request: JobRequest): void {
-    this.submitted.set(request.id, request)
-    this.submittedAt.set(request.id, this.sim.now)
-  }
-  /** Jobs of which nothing began within that time of their submission, largest first. */
-  notBegunWithin(ms: number): ReadonlyArray<string> {
-    const late = [...this.submitted.keys()].filter((job) => {
-      const began = this.begunAt.get(job) ?? this.sim.now
-      return !this.askedToCancel.has(job) && began > this.submittedAt.get(job)! + ms
-    })
-    const size = (job: string) => this.submitted.get(job)!.pieces
-    return late.sort((a, b) => size(b) - size(a))
-  }
-  /** Classes and teams of which less than half is done. */
-  unserved(): ReadonlyArray<string> {
-    const groups = new Map<string, { jobs: number; done: number }>()
-    for (const [job, request] of this.submitted) {
-      if (this.askedToCancel.has(job)) continue
-      for (const group of [`class ${request.lane}`, `team ${request.owner}`]) {
-        const of = groups.get(group) ?? { jobs: 0, done: 0 }
-        of.jobs++
-        if (this.state(job) === "done") of.done++
-        groups.set(group, of)
-      }
-    }
-    return [...groups].filter(([, { jobs, done }]) => 2 * done < jobs).map(([group]) => group)
-  }
-
   /** To be called now and then. */
   look(): void {
-    this.checkKnown()
+    this.users.checkAnswered(this.quietFrom)
     for (const task of this.places.keys()) this.checkCancelled(task, task.slice(0, task.indexOf("/")))
   }
-
-  /** Once troubles are over, somebody who asks about an accepted job has to get an answer in time. */
-  private checkKnown(): void {
-    for (const [job, told] of this.told) {
-      const since = Math.max(told.at, this.quietFrom, this.lastWord.get(job) ?? 0)
-      if (this.askedToCancel.has(job) || this.sim.now <= since + FORGOTTEN_MS) continue
-      this.say("forgotten", `${job}: no answer for ${FORGOTTEN_MS / 1000} s`)
-      this.lastWord.set(job, this.sim.now)
-    }
-  }
-
-  asksToCancel(job: string): void {
-    this.askedToCancel.add(job)
-  }
-  /** A user was answered. What it was told after it had asked binds this answer to nothing. */
-  answered(
-    job: string,
-    how: "submit" | "poll" | "cancel",
-    status: number,
-    state: string | null,
-    asked: number,
-  ): void {
-    const told = this.told.get(job)
-    const before = told !== undefined && told.at <= asked ? told.state : undefined
-    if (how === "poll" && status === 404 && before !== undefined) this.say("forgotten", `${job}: 404`)
-    if (how === "submit" && (status === 400 || status === 422) && before !== undefined)
-      this.say("forgotten", `${job}: ${status}`)
-    if (status !== 200 && status !== 201) return
-    this.lastWord.set(job, this.sim.now)
-    if (!this.submitted.has(job)) this.say("invented", job)
-    if (state === "done") {
-      const done = this.doneTasks.get(job)?.size ?? 0
-      if (done < (this.submitted.get(job)?.pieces ?? 0))
-        this.say("not_done", `${job}: ${done} tasks are done`)
-    }
-    if (state === "withdrawn" && !this.askedToCancel.has(job))
-      this.say("went_back", `${job}: nobody cancelled it`)
-    if ((before === "done" || before === "withdrawn") && state !== before) {
-      this.say("went_back", `${job}: ${before}, now ${state}`)
-    }
-    const final = told?.state === "done" || told?.state === "withdrawn"
-    if (!final) this.told.set(job, { state: state ?? "queued", at: this.sim.now })
-    if (state === "withdrawn" && !this.cancelledAt.has(job)) this.cancelledAt.set(job, this.sim.now)
-  }
-  state(job: string): string | null {
-    return this.told.get(job)?.state ?? null
-  }
 }
--- a/packages/testkit/src/scenario.ts
+++ b/packages/testkit/src/scenario.ts
@@ -1,5 +1,7 @@
-import type { JobId, JobRequest, NodeName } from "@sorreltally/wire"
+import type { JobId, JobRequest } from "@sorreltally/wire"
 import { type Form, parse } from "sexpr-plus"
+import { type Action, type Args, node, number } from "./actions.ts"
+import { HARMLESS, userActions, userExpectations } from "./user-actions.ts"
 import { type Sending, type Setup, usualSetup, World } from "./world.ts"
 
 /** A piece of source without which the scenario must fail. */
@@ -18,10 +20,6 @@
   readonly world: World
 }
 
-type Args = ReadonlyArray<string>
-const number = (args: Args, at: number, or: number): number =>
-  args[at] === undefined ? or : Number(args[at])
-
 /** Options of a job, written `name value`; the rest is as usual. */
 const jobFrom = (id: JobId, args: Args): JobRequest => {
   const given = new Map<string, string>()
@@ -53,13 +51,12 @@
 }
 
 let jobCount = 0
-type Action = (world: World, args: Args) => void
 const job = (world: World, args: Args): JobId => world.users.jobs[number(args, 0, 0)]!
-const node = (args: Args): NodeName => args[0] as NodeName
 const mode = (args: Args, at: number) => (args[at] ?? "hold") as "hold" | "drop" | "reset"
 
 /** Everything a scenario can make happen. Times are in seconds. */
 const actions: Record<string, Action> = {
+  ...userActions,
   submit: (world, args) =>
     world.users.submit(jobFrom(`run-${String(++jobCount).padStart(6, "0")}` as JobId, args)),
   /** Many jobs: how many, over how many seconds, then what each is like. */
@@ -75,20 +72,6 @@
   "crash-all": (world, args) => {
     for (const name of world.names) world.crash(name, number(args, 0, 4) * 1000)
   },
-  "state-outage": (world, args) => {
-    world.state.outage(true)
-    world.sim.after(number(args, 0, 10) * 1000, () => world.state.outage(false))
-  },
-  "state-refuses": (world, args) => {
-    world.state.refuse(args[0]!, true)
-    world.sim.after(number(args, 1, 10) * 1000, () => world.state.refuse(args[0]!, false))
-  },
-  "state-mute": (world, args) => {
-    world.state.mute = number(args, 0, 0.2)
-    world.sim.after(number(args, 1, 20) * 1000, () => {
-      world.state.mute = 0
-    })
-  },
   "cloud-outage": (world, args) => {
     world.cloud.outage(true)
     world.sim.after(number(args, 0, 10) * 1000, () => world.cloud.outage(false))
@@ -135,6 +118,7 @@
 
 /** What a scenario can ask for at its end, besides unbroken rules. */
 const expectations: Record<string, (world: World, args: Args) => string | null> = {
+  ...userExpectations,
   done: (world, args) => {
     const { done } = world.users.counts()
     return done >= number(args, 0, 1) ? null : `${done} jobs are done, expected ${args[0]}`
@@ -143,15 +127,6 @@
     const { done, withdrawn, jobs } = world.users.counts()
     return done + withdrawn === jobs ? null : `${done} done and ${withdrawn} withdrawn of ${jobs} jobs`
   },
-  /** At least half of every class and team is done. */
-  served: (world) => {
-    const unserved = world.rules.unserved()
-    return unserved.length === 0 ? null : `less than half is done of ${unserved.join(", ")}`
-  },
-  "begun-within": (world, args) => {
-    const late = world.rules.notBegunWithin(number(args, 0, 240) * 1000)
-    return late.length === 0 ? null : `nothing began within ${args[0]} s of ${late.join(", ")}`
-  },
   withdrawn: (world, args) => {
     const { withdrawn } = world.users.counts()
     return withdrawn >= number(args, 0, 1) ? null : `${withdrawn} jobs are withdrawn, expected ${args[0]}`
@@ -224,7 +199,7 @@
           atS: Number(words(at!)[0]),
           action,
           args,
-          lastsS: name === "submit" || name === "stream" ? 0 : lastsS,
+          lastsS: name === "submit" || name === "stream" || HARMLESS.has(name ?? "") ? 0 : lastsS,
         })
       }
     } else if (what === "expect") {
--- /dev/null
+++ b/packages/testkit/src/service-rules.ts
@@ -0,0 +1,58 @@
+import type { JobRequest } from "@sorreltally/wire"
+import type { UserRules } from "./user-rules.ts"
+
+/** Of each class, the share of its jobs that counts as its largest, at least one. */
+const LARGEST_SHARE = 0.1
+
+interface Tally {
+  jobs: number
+  done: number
+}
+
+/** Jobs that count: nobody asked to cancel them. */
+const counted = (rules: UserRules): ReadonlyArray<JobRequest> =>
+  [...rules.submitted.values()].filter(({ id }) => !rules.askedToCancel.has(id))
+
+/** The largest jobs of each class, by their tasks' resources; all that tie with the smallest of them. */
+export const largestOfClasses = (rules: UserRules): ReadonlySet<string> => {
+  const classes = new Map<string, Array<JobRequest>>()
+  for (const job of counted(rules)) classes.set(job.lane, [...(classes.get(job.lane) ?? []), job])
+  const size = (job: JobRequest) => job.pieces * job.cores
+  const largest = new Set<string>()
+  for (const jobs of classes.values()) {
+    const sizes = jobs.map(size).sort((a, b) => b - a)
+    const least = sizes[Math.max(1, Math.floor(sizes.length * LARGEST_SHARE)) - 1] ?? 0
+    for (const job of jobs) if (size(job) >= least) largest.add(job.id)
+  }
+  return largest
+}
+
+/** Classes, teams, and the largest jobs of classes, of which less than half is done. */
+export const unserved = (rules: UserRules): ReadonlyArray<string> => {
+  const largest = largestOfClasses(rules)
+  const groups = new Map<string, Tally>()
+  for (const { id, lane, owner } of counted(rules)) {
+    const names = [`class ${lane}`, `team ${owner}`]
+    if (largest.has(id)) names.push(`the largest of class ${lane}`)
+    for (const name of names) {
+      const tally = groups.get(name) ?? { jobs: 0, done: 0 }
+      tally.jobs++
+      if (rules.state(id) === "done") tally.done++
+      groups.set(name, tally)
+    }
+  }
+  return [...groups].filter(([, { jobs, done }]) => 2 * done < jobs).map(([name]) => name)
+}
+
+/** Jobs of which no task began within that time of their submission, largest first. */
+export const notBegunWithin = (
+  rules: UserRules,
+  begunAt: ReadonlyMap<string, number>,
+  ms: number,
+  now: number,
+): ReadonlyArray<string> => {
+  const late = counted(rules).filter(
+    ({ id }) => (begunAt.get(id) ?? now) > (rules.submittedAt.get(id) ?? 0) + ms,
+  )
+  return late.sort((a, b) => b.pieces - a.pieces).map(({ id }) => id)
+}
--- a/packages/testkit/src/state.ts
+++ b/packages/testkit/src/state.ts
@@ -1,5 +1,6 @@
 import type { Net, Request } from "./net.ts"
 import type { Sim } from "./sim.ts"
+import { StateFaults } from "./state-faults.ts"
 
 interface Held {
   v: unknown
@@ -34,8 +35,7 @@
   private waiting: Array<() => void> = []
   private down = false
   private readonly refused = new Set<string>()
-  /** Chance that a transaction is carried out and its answer lost. */
-  mute = 0
+  readonly faults: StateFaults
   /** Requests and changes asked for, and those turned away for being too many. */
   readonly count = { requests: 0, changes: 0, refused: 0 }
   private readonly requests: Bucket
@@ -51,11 +51,15 @@
       readonly value_kb: number
     },
   ) {
+    this.faults = new StateFaults(sim)
     this.requests = new Bucket(limits.rps)
     this.changes = new Bucket(limits.write_rps)
     net.listen("state", (request, from, answer) => {
       const late = sim.luck.chance(0.02) ? sim.luck.between(50, 300) : sim.luck.between(1, 6)
-      sim.after(late, () => this.serve(request, from, answer))
+      const answerLater: typeof answer = (what) => sim.after(this.faults.delayMs(), () => answer(what))
+      sim.after(late + this.faults.delayMs(), () =>
+        this.serve(request, from, this.faults.slowMs > 0 ? answerLater : answer),
+      )
     })
     const expire = () => {
       if (!this.down) for (const [id, grant] of this.grants) if (grant.until < sim.now) this.end(id)
@@ -100,6 +104,7 @@
       const path = url.pathname.slice("/kv/".length)
       const held = this.keys.get(path)
       if (held === undefined) return answer({ status: 404, body: { epoch: this.epoch } })
+      this.faults.read(from, [held.stamp])
       return answer({ status: 200, body: { path, v: held.v, stamp: held.stamp } })
     }
     if (url.pathname === "/kv") {
@@ -112,11 +117,13 @@
       return answer({ status: 200, body: { items, more: all.length > page, epoch: this.epoch } })
     }
     if (url.pathname === "/multi") {
+      if (this.faults.holdsBack(from, () => this.lateMulti(body))) return
       const done = this.multi(body)
-      if (done !== null) answer(done)
+      const lost = done.status === 200 && this.faults.losesAnswer(from, this.epoch)
+      if (!lost) answer(done)
       return
     }
-    if (url.pathname === "/watch") return this.watch(url, answer)
+    if (url.pathname === "/watch") return this.watch(url, from, answer)
     if (url.pathname === "/grants") {
       const ttl = body["ttl_ms"] as number
       this.grants.set(++this.permits, { ttl, until: this.sim.now + ttl })
@@ -140,8 +147,11 @@
     this.wake()
   }
 
-  /** Null: carried out, and the answer lost. */
-  private multi(body: Record<string, unknown>): { status: number; body: unknown } | null {
+  /** True: it changed something; null: not yet. */
+  private lateMulti(body: Record<string, unknown>): boolean | null {
+    return this.down ? null : this.multi(body).status === 200
+  }
+  private multi(body: Record<string, unknown>): { status: number; body: unknown } {
     const when = (body["when"] ?? []) as Array<Condition>
     const apply = (body["apply"] ?? []) as Array<Change>
     const tooBig = apply.some((c) => JSON.stringify(c.v ?? null).length > this.limits.value_kb * 1024)
@@ -169,7 +179,7 @@
       }
       this.wake()
     }
-    return this.sim.luck.chance(this.mute) ? null : { status: 200, body: { epoch: this.epoch } }
+    return { status: 200, body: { epoch: this.epoch } }
   }
 
   private change(path: string, entry: Held | null): void {
@@ -179,7 +189,7 @@
     if (this.news.length > KEPT_NEWS) this.news.shift()
   }
 
-  private watch(url: URL, answer: (a: { status: number; body: unknown }) => void): void {
+  private watch(url: URL, from: string, answer: (a: { status: number; body: unknown }) => void): void {
     const prefix = url.searchParams.get("starts") ?? ""
     const after = Number(url.searchParams.get("after"))
     const oldest = this.news[0]?.epoch ?? 1
@@ -202,6 +212,10 @@
         return
       }
       over = true
+      this.faults.read(
+        from,
+        found.map(({ stamp }) => stamp),
+      )
       answer({ status: 200, body: { epoch: this.epoch, news: found } })
     }
     look(false)
--- /dev/null
+++ b/packages/testkit/src/user-rules.ts
@@ -0,0 +1,137 @@
+import type { JobRequest } from "@sorreltally/wire"
+import type { Sim } from "./sim.ts"
+
+/** What a user asked of a job. */
+export type Question = "submit" | "poll" | "cancel"
+export type FinalState = "done" | "withdrawn"
+/** Why a submission has to be refused. */
+export type Refusal = "malformed" | "unfit"
+
+/** What users were told of an accepted job, by any node, and when that first arrived. */
+interface Told {
+  readonly acceptedAt: number
+  state: string
+  final: { readonly state: FinalState; readonly at: number } | null
+}
+
+const FORGOTTEN_MS = 75_000
+const REFUSAL_STATUS: Record<Refusal, number> = { malformed: 400, unfit: 422 }
+/** A node that can't decide, or is too busy, may say so. */
+const UNDECIDED: ReadonlySet<number> = new Set([0, 429, 503, 504])
+
+/** Checks what users are told of their jobs, across all nodes and by the millisecond. */
+export class UserRules {
+  readonly submitted = new Map<string, JobRequest>()
+  readonly submittedAt = new Map<string, number>()
+  readonly askedToCancel = new Set<string>()
+  /** When a user first heard that the job is cancelled. */
+  readonly cancelledAt = new Map<string, number>()
+  private readonly told = new Map<string, Told>()
+  private readonly refusable = new Map<string, Refusal>()
+  /** First question about a job since one was answered. */
+  private readonly unansweredSince = new Map<string, number>()
+  private readonly doneTasks = new Map<string, Set<number>>()
+
+  constructor(
+    private readonly sim: Sim,
+    private readonly say: (rule: string, what: string) => void,
+  ) {}
+
+  /** A user submits a job that can run. */
+  asksToRun(request: JobRequest): void {
+    this.submitted.set(request.id, request)
+    this.submittedAt.set(request.id, this.sim.now)
+  }
+  /** A user submits what no node may accept. */
+  asksInVain(job: string, refusal: Refusal): void {
+    this.refusable.set(job, refusal)
+  }
+  asksToCancel(job: string): void {
+    this.askedToCancel.add(job)
+  }
+  /** A question about a job was sent to a node. */
+  asked(job: string): void {
+    if (!this.unansweredSince.has(job)) this.unansweredSince.set(job, this.sim.now)
+  }
+
+  finished(job: string, index: number): void {
+    const done = this.doneTasks.get(job) ?? new Set()
+    this.doneTasks.set(job, done.add(index))
+  }
+  isFinished(job: string, index: number): boolean {
+    return this.doneTasks.get(job)?.has(index) === true
+  }
+  /** All tasks of the job have completed. */
+  isComplete(job: string): boolean {
+    return (this.doneTasks.get(job)?.size ?? 0) >= (this.submitted.get(job)?.pieces ?? 0)
+  }
+
+  state(job: string): string | null {
+    return this.told.get(job)?.state ?? null
+  }
+  isAccepted(job: string): boolean {
+    return this.told.has(job)
+  }
+  finalState(job: string): FinalState | null {
+    return this.told.get(job)?.final?.state ?? null
+  }
+
+  /**
+   * A user was answered. Whatever any node's answer had told by the time this
+   * question was asked binds this answer; what came later doesn't.
+   */
+  answered(job: string, how: Question, status: number, state: string | null, asked: number): void {
+    const told = this.told.get(job)
+    this.checkRefused(job, how, status)
+    if (told !== undefined && told.acceptedAt <= asked) this.checkKnown(job, how, status)
+    if (status !== 200 && status !== 201) return
+    this.unansweredSince.delete(job)
+    if (!this.submitted.has(job) && !this.refusable.has(job)) this.say("invented", job)
+    if (state === "done" && !this.isComplete(job)) {
+      this.say("not_done", `${job}: ${this.doneTasks.get(job)?.size ?? 0} tasks are done`)
+    }
+    if (state === "withdrawn" && !this.askedToCancel.has(job))
+      this.say("went_back", `${job}: nobody cancelled it`)
+    this.checkOrder(job, state, told, asked)
+    this.remember(job, state)
+  }
+
+  private checkRefused(job: string, how: Question, status: number): void {
+    const refusal = this.refusable.get(job)
+    if (refusal === undefined || how !== "submit" || UNDECIDED.has(status)) return
+    if (status === 200 || status === 201) this.say("accepted_unfit", `${job}: ${refusal}, answered ${status}`)
+    else if (status !== REFUSAL_STATUS[refusal])
+      this.say("wrong_refusal", `${job}: ${refusal}, answered ${status}`)
+  }
+  private checkKnown(job: string, how: Question, status: number): void {
+    const refused = how === "submit" && (status === 400 || status === 422)
+    if (status === 404 || refused) this.say("forgotten", `${job}: ${how} answered ${status}`)
+  }
+  private checkOrder(job: string, state: string | null, told: Told | undefined, asked: number): void {
+    const final = told?.final ?? null
+    if (final === null || state === final.state) return
+    const bound = final.at <= asked || state === "done" || state === "withdrawn"
+    if (bound) this.say("went_back", `${job}: ${final.state}, now ${state}`)
+  }
+  private remember(job: string, state: string | null): void {
+    const now = this.sim.now
+    const told = this.told.get(job) ?? { acceptedAt: now, state: "queued", final: null }
+    this.told.set(job, told)
+    if (told.final !== null) return
+    told.state = state ?? "queued"
+    if (state === "done" || state === "withdrawn") told.final = { state, at: now }
+    if (state === "withdrawn" && !this.cancelledAt.has(job)) this.cancelledAt.set(job, now)
+  }
+
+  /**
+   * Whoever asks about an accepted job has to get an answer in time, however
+   * others fare; the time counts while no trouble is on.
+   */
+  checkAnswered(quietFrom: number): void {
+    for (const [job, since] of this.unansweredSince) {
+      if (!this.told.has(job) || this.sim.now <= Math.max(since, quietFrom) + FORGOTTEN_MS) continue
+      this.say("forgotten", `${job}: no answer for ${FORGOTTEN_MS / 1000} s`)
+      this.unansweredSince.set(job, this.sim.now)
+    }
+  }
+}
--- /dev/null
+++ b/packages/testkit/src/user-troubles.ts
@@ -0,0 +1,197 @@
+import type { JobId, JobRequest, NodeName } from "@sorreltally/wire"
+import type { Rules } from "./rules.ts"
+import type { Sim } from "./sim.ts"
+import type { Refusal } from "./user-rules.ts"
+import type { Event, Users } from "./users.ts"
+
+/** After an event, all nodes are asked this much later each time. */
+const CLOSE_POLLS_MS = [0, 0.3, 1, 2, 4, 8, 15, 30, 60, 120]
+/** An answer so soon after the event met its effects. */
+const CLOSE_MS = 150
+/** Of the jobs just accepted, the share that is cancelled at once. */
+const CANCELLED_AT_ONCE = 0.15
+const BURST_WITHIN_MS = 200
+/** A task has long to go if this much of its estimate is left. */
+const LONG_TO_GO_S = 15
+const MOST_HUNG = 8
+const ODD_REQUEST_EVERY_MS = 700
+
+/** Requests of users that meet each other, or are odd; each can be counted. */
+export class UserTroubles {
+  private closePollsUntil = 0
+  private cancelAtEnd = { share: 0, until: 0 }
+  private oddJobs = 0
+  readonly count = {
+    /** Answers within a moment of an acceptance, a confirmed cancellation, and the end of a job's last task. */
+    closeAfterAccepted: 0,
+    closeAfterCancelled: 0,
+    closeAfterEnd: 0,
+    /** Of the jobs that were cancelled as their last task ended: how the user was answered. */
+    endsCancelled: 0,
+    endsTold: 0,
+    burst: 0,
+    burstHung: 0,
+    odd: 0,
+    oddRefused: 0,
+  }
+
+  constructor(
+    private readonly sim: Sim,
+    private readonly users: Users,
+    private readonly rules: Rules,
+  ) {
+    users.on.push((event, job) => this.told(event, job))
+    rules.onComplete.push((job) => this.completed(job as JobId))
+  }
+
+  /** All nodes are polled within milliseconds of each event, and submissions repeated. */
+  closePolls(forMs: number): void {
+    this.closePollsUntil = Math.max(this.closePollsUntil, this.sim.now + forMs)
+  }
+  private told(event: Event, job: JobId): void {
+    if (this.sim.now >= this.closePollsUntil) return
+    if (event === "cancelled") return this.askAll(job, () => this.count.closeAfterCancelled++)
+    this.askAll(job, () => this.count.closeAfterAccepted++)
+    if (this.sim.luck.chance(CANCELLED_AT_ONCE)) this.users.cancel(job)
+  }
+  private askAll(job: JobId, met: () => void): void {
+    const event = this.sim.now
+    const answered = (status: number) => {
+      if (status === 200 && this.sim.now <= event + CLOSE_MS) met()
+    }
+    for (const ms of CLOSE_POLLS_MS) {
+      for (const node of this.users.nodes) this.sim.after(ms, () => this.users.look(job, node, answered))
+    }
+    for (const ms of [1, 20, 90]) this.sim.after(ms, () => this.users.resubmit(job))
+  }
+
+  /** That share of the jobs that end is cancelled as the last task does. */
+  cancelAtEnds(share: number, forMs: number): void {
+    this.cancelAtEnd = { share, until: this.sim.now + forMs }
+  }
+  private completed(job: JobId): void {
+    if (this.sim.now < this.closePollsUntil) this.askAll(job, () => this.count.closeAfterEnd++)
+    const { share, until } = this.cancelAtEnd
+    if (this.sim.now >= until || !this.sim.luck.chance(share)) return
+    this.users.cancel(job, (_, state) => {
+      if (state === "done") this.count.endsTold++
+      else this.count.endsCancelled++
+    })
+  }
+
+  /** Cancels jobs that run and have long to go, within a moment; returns machines of theirs, to hang. */
+  cancelBurst(count: number): ReadonlyArray<string> {
+    const jobs = this.rules.jobsWithLongToGo(LONG_TO_GO_S).slice(0, count)
+    const machines = new Set<string>()
+    for (const job of jobs) {
+      this.count.burst++
+      for (const machine of this.rules.machinesOf(job)) machines.add(machine)
+      this.sim.after(this.sim.luck.between(0, BURST_WITHIN_MS), () => this.users.cancel(job as JobId))
+    }
+    const hung = [...machines].slice(0, MOST_HUNG)
+    this.count.burstHung += hung.length
+    return hung
+  }
+
+  /** Repeated submissions of unfinished jobs, cancels of done ones, jobs that no node may accept. */
+  oddRequests(forMs: number): void {
+    const until = this.sim.now + forMs
+    const next = () => {
+      if (this.sim.now >= until) return
+      this.oddRequest()
+      this.sim.after(this.sim.luck.between(0.5, 1.5) * ODD_REQUEST_EVERY_MS, next)
+    }
+    next()
+  }
+  private oddRequest(): void {
+    const { luck } = this.sim
+    const finals = (done: boolean) =>
+      this.users.jobs.filter((id) => (this.rules.users.finalState(id) !== null) === done)
+    const unfinished = finals(false).filter((id) => this.rules.users.isAccepted(id))
+    const done = finals(true).filter((id) => this.rules.users.finalState(id) === "done")
+    const kind = luck.next()
+    this.count.odd++
+    if (kind < 0.25 && unfinished.length > 0) return this.users.resubmit(luck.pick(unfinished))
+    if (kind < 0.4 && done.length > 0) return this.users.cancelDone(luck.pick(done))
+    if (kind < 0.5) return this.users.askAboutNobody()
+    this.submitInVain()
+  }
+  private submitInVain(): void {
+    const id = `run-${String(900_000 + ++this.oddJobs).padStart(6, "0")}` as JobId
+    const { change, refusal } = this.sim.luck.pick(ODD_JOBS)
+    const request = change({ ...PLAIN, id })
+    this.rules.users.asksInVain(id, refusal)
+    const attempt = (node?: NodeName) =>
+      this.users.ask(
+        "submit",
+        id,
+        request,
+        (status) => {
+          if (status === 400 || status === 422) this.count.oddRefused++
+        },
+        node,
+      )
+    attempt()
+    // At each node, some of which may not know the machine types yet.
+    for (const node of this.users.nodes) this.sim.after(this.sim.luck.between(1, 2_000), () => attempt(node))
+    this.sim.after(this.sim.luck.between(1, 20_000), () => this.users.look(id, this.users.nodes[0]!))
+  }
+}
+
+const PLAIN = {
+  lane: "bulk",
+  owner: "red",
+  shape: "batch",
+  urgency: "standard",
+  pieces: 2,
+  cores: 2,
+  accelerators: 0,
+  mem_gb: 4,
+  bundle: "img-1",
+  image_gb: 1,
+  builds: null,
+  site: null,
+  together: false,
+  scatter: false,
+  loaners: true,
+  expected_s: 5,
+  snapshot_s: 0,
+  flush_s: 0,
+  due_s: null,
+}
+type Odd = Record<string, unknown>
+const without =
+  (field: keyof JobRequest) =>
+  (request: Odd): Odd => {
+    const { [field]: _, ...rest } = request
+    return rest
+  }
+const having =
+  (fields: Odd) =>
+  (request: Odd): Odd => ({ ...request, ...fields })
+const ODD_JOBS: ReadonlyArray<{ readonly change: (request: Odd) => Odd; readonly refusal: Refusal }> = [
+  { change: without("owner"), refusal: "malformed" },
+  { change: without("lane"), refusal: "malformed" },
+  { change: without("pieces"), refusal: "malformed" },
+  { change: without("cores"), refusal: "malformed" },
+  { change: without("mem_gb"), refusal: "malformed" },
+  { change: without("bundle"), refusal: "malformed" },
+  { change: without("loaners"), refusal: "malformed" },
+  { change: without("expected_s"), refusal: "malformed" },
+  { change: without("snapshot_s"), refusal: "malformed" },
+  { change: without("together"), refusal: "malformed" },
+  { change: having({ pieces: 0 }), refusal: "malformed" },
+  { change: having({ pieces: 100_001 }), refusal: "malformed" },
+  { change: having({ cores: "four" }), refusal: "malformed" },
+  { change: having({ shape: "tree" }), refusal: "malformed" },
+  { change: having({ urgency: "now" }), refusal: "malformed" },
+  { change: having({ expected_s: -1 }), refusal: "malformed" },
+  { change: having({ owner: "nobody" }), refusal: "unfit" },
+  { change: having({ cores: 33 }), refusal: "unfit" },
+  { change: having({ mem_gb: 4_000 }), refusal: "unfit" },
+  { change: having({ accelerators: 1 }), refusal: "unfit" },
+  { change: having({ builds: ["unheard-of"] }), refusal: "unfit" },
+  { change: having({ builds: ["small"], cores: 16 }), refusal: "unfit" },
+  { change: having({ builds: [] }), refusal: "unfit" },
+  { change: having({ site: "nowhere" }), refusal: "unfit" },
+]
--- a/packages/testkit/src/users.ts
+++ b/packages/testkit/src/users.ts
@@ -1,35 +1,45 @@
 import type { JobId, JobRequest, NodeName } from "@sorreltally/wire"
 import type { Net } from "./net.ts"
-import type { Rules } from "./rules.ts"
 import type { Sim } from "./sim.ts"
+import type { Question, UserRules } from "./user-rules.ts"
+
+/** A user's request was answered; status 0: not in time. */
+type Answered = (status: number, state: string | null) => void
+/** Something that a user was told for the first time, or asked to be. */
+export type Event = "accepted" | "cancelled"
+
+const ANSWER_MS: Record<Question, number> = { submit: 5_000, poll: 2_000, cancel: 5_000 }
+const RETRY_MS = 1_000
+const POLL_EVERY_MS = 5_000
 
 /** A stand-in of the users: they submit, poll and cancel jobs as the protocol says, at any node. */
 export class Users {
   readonly jobs: Array<JobId> = []
+  /** Called as soon as a user hears of it. */
+  readonly on: Array<(event: Event, job: JobId) => void> = []
 
   constructor(
     private readonly sim: Sim,
     private readonly net: Net,
-    private readonly rules: Rules,
-    private readonly nodes: ReadonlyArray<NodeName>,
+    private readonly rules: UserRules,
+    readonly nodes: ReadonlyArray<NodeName>,
   ) {}
 
-  private ask(
-    method: string,
-    path: string,
-    body: unknown,
-    done: (status: number, body: unknown, asked: number) => void,
-  ): void {
+  /** Asks one node, any by default. */
+  ask(how: Question, job: string, body: unknown, done: Answered, at?: NodeName): void {
     const asked = this.sim.now
     let over = false
-    const finish = (status: number, answer: unknown) => {
+    const finish = (status: number, state: string | null) => {
       if (over) return
       over = true
-      done(status, answer, asked)
+      this.rules.answered(job, how, status, state, asked)
+      done(status, state)
     }
-    this.sim.after(5_000, () => finish(0, null))
-    this.net.request("users", this.sim.luck.pick(this.nodes), { method, path, body }, (answer) =>
-      finish(answer?.status ?? 0, answer?.body),
+    this.rules.asked(job)
+    this.sim.after(ANSWER_MS[how], () => finish(0, null))
+    const request = { method: how === "poll" ? "GET" : "POST", path: pathOf(how, job), body }
+    this.net.request("users", at ?? this.sim.luck.pick(this.nodes), request, (answer) =>
+      finish(answer?.status ?? 0, stateOf(answer?.body)),
     )
   }
 
@@ -37,42 +47,48 @@
     this.rules.asksToRun(request)
     this.jobs.push(request.id)
     const attempt = () =>
-      this.ask("POST", "/v1/jobs", request, (status, body, asked) => {
-        this.rules.answered(request.id, "submit", status, stateOf(body), asked)
-        if (status === 200 || status === 201) this.poll(request.id)
-        else if (status !== 400 && status !== 422) this.sim.after(1_000, attempt)
+      this.ask("submit", request.id, request, (status) => {
+        if (status === 200 || status === 201) this.accepted(request.id)
+        else if (status !== 400 && status !== 422) this.sim.after(RETRY_MS, attempt)
       })
     attempt()
   }
+  private accepted(id: JobId): void {
+    this.poll(id)
+    this.tell("accepted", id)
+  }
   /** A repeated submission, at any later time. */
-  resubmit(id: JobId): void {
-    const request = this.rules.submitted.get(id)!
-    this.ask("POST", "/v1/jobs", request, (status, body, asked) =>
-      this.rules.answered(id, "submit", status, stateOf(body), asked),
-    )
+  resubmit(id: JobId, at?: NodeName): void {
+    this.ask("submit", id, this.rules.submitted.get(id), () => {}, at)
+  }
+  /** One question at one node. */
+  look(id: JobId, at: NodeName, done: Answered = () => {}): void {
+    this.ask("poll", id, null, done, at)
   }
   private poll(id: JobId): void {
-    const again = () => {
-      this.ask("GET", `/v1/jobs/${id}`, null, (status, body, asked) => {
-        this.rules.answered(id, "poll", status, stateOf(body), asked)
-        this.sim.after(5_000, again)
-      })
-    }
+    const again = () => this.ask("poll", id, null, () => this.sim.after(POLL_EVERY_MS, again))
     this.sim.after(this.sim.luck.between(500, 5_000), again)
   }
-  cancel(id: JobId): void {
+  /** Repeated until it is answered. */
+  cancel(id: JobId, done: Answered = () => {}): void {
     this.rules.asksToCancel(id)
-    this.ask("POST", `/v1/jobs/${id}/cancel`, {}, (status, body, asked) => {
-      this.rules.answered(id, "cancel", status, stateOf(body), asked)
-      if (status !== 200) this.sim.after(1_000, () => this.cancel(id))
+    this.ask("cancel", id, {}, (status, state) => {
+      if (status !== 200) return this.sim.after(RETRY_MS, () => this.cancel(id, done))
+      if (state === "withdrawn") this.tell("cancelled", id)
+      done(status, state)
     })
   }
+  /** A cancellation that comes too late: the user was told that the job is done. */
+  cancelDone(id: JobId): void {
+    this.ask("cancel", id, {}, () => {})
+  }
   askAboutNobody(): void {
-    const id = "run-999999"
-    this.ask("GET", `/v1/jobs/${id}`, null, (status, body, asked) =>
-      this.rules.answered(id, "poll", status, stateOf(body), asked),
-    )
+    this.ask("poll", "run-999999", null, () => {})
   }
+  private tell(event: Event, job: JobId): void {
+    for (const told of this.on) told(event, job)
+  }
+
   counts(): { readonly done: number; readonly withdrawn: number; readonly jobs: number } {
     const states = this.jobs.map((id) => this.rules.state(id))
     const done = states.filter((s) => s === "done").length
@@ -80,4 +96,8 @@
   }
 }
 
+const pathOf = (how: Question, job: string): string => {
+  if (how === "submit") return "/v1/jobs"
+  return how === "poll" ? `/v1/jobs/${job}` : `/v1/jobs/${job}/cancel`
+}
 const stateOf = (body: unknown): string | null => (body as { status?: string } | null)?.status ?? null
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -18,6 +18,7 @@
 import { Rules } from "./rules.ts"
 import { type Process, Sim } from "./sim.ts"
 import { StateService } from "./state.ts"
+import { UserTroubles } from "./user-troubles.ts"
 import { Users } from "./users.ts"
 
 export interface Setup {
@@ -64,6 +65,7 @@
   readonly state: StateService
   readonly cloud: Cloud
   readonly users: Users
+  readonly userTroubles: UserTroubles
   readonly names: ReadonlyArray<NodeName>
   private readonly lives = new Map<NodeName, Life>()
   readonly logged: Array<string> = []
@@ -91,7 +93,8 @@
       times: WORKERS,
       neverBoots: setup.neverBoots,
     })
-    this.users = new Users(this.sim, this.net, this.rules, this.names)
+    this.users = new Users(this.sim, this.net, this.rules.users, this.names)
+    this.userTroubles = new UserTroubles(this.sim, this.users, this.rules)
     for (let i = 0; i < setup.nodes; i++) this.sim.after(i * 150, () => this.start(this.names[i]!))
     const look = () => {
       this.rules.look()
