Stand-in: faults of machines and network in a module of their own, with their verbs

No behaviour changes: world.ts keeps controllers, users and the wiring; troubles.ts and trouble-actions.ts hold the faults of machines and of the network.

--- /dev/null
+++ b/packages/testkit/src/actions.ts
@@ -0,0 +1,14 @@
+import type { NodeName } from "@sorreltally/wire"
+import type { World } from "./world.ts"
+
+/** The words after the verb of one scenario entry. */
+export type Args = ReadonlyArray<string>
+/** What one verb of a scenario makes happen. */
+export type Action = (world: World, args: Args) => void
+
+/** The argument at a position as a number, or a default. */
+export const number = (args: Args, at: number, or: number): number =>
+  args[at] === undefined ? or : Number(args[at])
+
+/** A controller named by the first argument. */
+export const node = (args: Args): NodeName => args[0] as NodeName
--- a/packages/testkit/src/scenario.ts
+++ b/packages/testkit/src/scenario.ts
@@ -1,5 +1,7 @@
-import type { JobId, JobRequest, NodeName } from "@sorreltally/wire"
+import type { JobId, JobRequest } from "@sorreltally/wire"
 import { type Form, parse } from "sexpr-plus"
+import { type Action, type Args, node, number } from "./actions.ts"
+import { troubleActions } from "./trouble-actions.ts"
 import { type Sending, type Setup, usualSetup, World } from "./world.ts"
 
 /** A piece of source without which the scenario must fail. */
@@ -18,10 +20,6 @@
   readonly world: World
 }
 
-type Args = ReadonlyArray<string>
-const number = (args: Args, at: number, or: number): number =>
-  args[at] === undefined ? or : Number(args[at])
-
 /** Options of a job, written `name value`; the rest is as usual. */
 const jobFrom = (id: JobId, args: Args): JobRequest => {
   const given = new Map<string, string>()
@@ -53,13 +51,11 @@
 }
 
 let jobCount = 0
-type Action = (world: World, args: Args) => void
 const job = (world: World, args: Args): JobId => world.jobs[number(args, 0, 0)]!
-const node = (args: Args): NodeName => args[0] as NodeName
-const mode = (args: Args, at: number) => (args[at] ?? "hold") as "hold" | "drop" | "reset"
 
 /** Everything a scenario can make happen. Times are in seconds. */
 const actions: Record<string, Action> = {
+  ...troubleActions,
   submit: (world, args) => world.submit(jobFrom(`run-${String(++jobCount).padStart(6, "0")}` as JobId, args)),
   /** Many jobs: how many, over how many seconds, then what each is like. */
   stream: (world, args) => {
@@ -95,38 +91,8 @@
   capacity: (world, args) => {
     world.cloud.settings.capacity = number(args, 0, 0)
   },
-  "cut-machines": (world, args) =>
-    world.cutMachines(number(args, 0, 1), number(args, 1, 20) * 1000, mode(args, 2)),
-  "cut-zones": (world, args) => world.cutZones(number(args, 0, 20) * 1000, mode(args, 1)),
-  "cut-zone": (world, args) => world.cutZone(args[0]!, number(args, 1, 30) * 1000, mode(args, 2)),
   freeze: (world, args) =>
     world.freeze(node(args), number(args, 1, 30) * 1000, (args[2] ?? null) as Sending | null),
-  "refuse-peers": (world, args) => world.refusePeers(number(args, 0, 20) * 1000),
-  die: (world, args) => world.die(number(args, 0, 1)),
-  "cut-peers": (world, args) => world.cutPeers(node(args), number(args, 1, 20) * 1000),
-  "cut-orders": (world, args) => world.cutOrders(number(args, 0, 20) * 1000),
-  isolate: (world, args) => world.isolate(node(args), number(args, 1, 20) * 1000),
-  deafen: (world, args) => world.deafen(number(args, 0, 1), number(args, 1, 20) * 1000),
-  reboot: (world, args) => world.reboot(number(args, 0, 1), number(args, 1, 0.3) * 1000),
-  hang: (world, args) => world.hang(number(args, 0, 1), number(args, 1, 20) * 1000),
-  "take-spot": (world, args) => world.takeSpot(number(args, 0, 1), number(args, 1, 0) * 1000),
-  "lose-messages": (world, args) => {
-    world.net.loss = number(args, 0, 0.05)
-    world.sim.after(number(args, 1, 20) * 1000, () => {
-      world.net.loss = 0
-    })
-  },
-  "repeat-messages": (world, args) => {
-    world.net.repeat = number(args, 0, 0.05)
-    world.net.repeatWithinMs = number(args, 2, 20) * 1000
-    world.sim.after(number(args, 1, 20) * 1000, () => {
-      world.net.repeat = 0
-    })
-  },
-  "adopt-strays": (world, args) => {
-    const type = world.cloud.settings.types[0]!
-    for (let i = 0; i < number(args, 0, 1); i++) world.cloud.rent(type, world.setup.zones[0]!, false)
-  },
 }
 
 const atMost = (what: string, count: number, args: Args): string | null =>
--- /dev/null
+++ b/packages/testkit/src/trouble-actions.ts
@@ -0,0 +1,38 @@
+import { type Action, type Args, node, number } from "./actions.ts"
+import type { CutMode } from "./net.ts"
+
+const mode = (args: Args, at: number) => (args[at] ?? "hold") as CutMode
+
+/** Scenario verbs for faults of machines and of the network. Times are in seconds. */
+export const troubleActions: Record<string, Action> = {
+  "cut-machines": (world, args) =>
+    world.troubles.cutMachines(number(args, 0, 1), number(args, 1, 20) * 1000, mode(args, 2)),
+  "cut-zones": (world, args) => world.troubles.cutZones(number(args, 0, 20) * 1000, mode(args, 1)),
+  "cut-zone": (world, args) => world.troubles.cutZone(args[0]!, number(args, 1, 30) * 1000, mode(args, 2)),
+  "refuse-peers": (world, args) => world.troubles.refusePeers(number(args, 0, 20) * 1000),
+  die: (world, args) => world.troubles.die(number(args, 0, 1)),
+  "cut-peers": (world, args) => world.troubles.cutPeers(node(args), number(args, 1, 20) * 1000),
+  "cut-orders": (world, args) => world.troubles.cutOrders(number(args, 0, 20) * 1000),
+  isolate: (world, args) => world.troubles.isolate(node(args), number(args, 1, 20) * 1000),
+  deafen: (world, args) => world.troubles.deafen(number(args, 0, 1), number(args, 1, 20) * 1000),
+  reboot: (world, args) => world.troubles.reboot(number(args, 0, 1), number(args, 1, 0.3) * 1000),
+  hang: (world, args) => world.troubles.hang(number(args, 0, 1), number(args, 1, 20) * 1000),
+  "take-spot": (world, args) => world.troubles.takeSpot(number(args, 0, 1), number(args, 1, 0) * 1000),
+  "lose-messages": (world, args) => {
+    world.net.loss = number(args, 0, 0.05)
+    world.sim.after(number(args, 1, 20) * 1000, () => {
+      world.net.loss = 0
+    })
+  },
+  "repeat-messages": (world, args) => {
+    world.net.repeat = number(args, 0, 0.05)
+    world.net.repeatWithinMs = number(args, 2, 20) * 1000
+    world.sim.after(number(args, 1, 20) * 1000, () => {
+      world.net.repeat = 0
+    })
+  },
+  "adopt-strays": (world, args) => {
+    const type = world.cloud.settings.types[0]!
+    for (let i = 0; i < number(args, 0, 1); i++) world.cloud.rent(type, world.setup.zones[0]!, false)
+  },
+}
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -14,11 +14,11 @@
 } from "@sorreltally/wire"
 import { Effect, Exit, Random } from "effect"
 import { Cloud } from "./cloud.ts"
-import type { Machine } from "./machines.ts"
-import { type Answer, type CutMode, Net, type Request } from "./net.ts"
+import { type Answer, Net, type Request } from "./net.ts"
 import { Rules } from "./rules.ts"
 import { type Process, Sim } from "./sim.ts"
 import { StateService } from "./state.ts"
+import { Troubles } from "./troubles.ts"
 
 export interface Setup {
   readonly seed: number
@@ -63,6 +63,7 @@
   readonly rules: Rules
   readonly state: StateService
   readonly cloud: Cloud
+  readonly troubles: Troubles
   readonly names: ReadonlyArray<NodeName>
   private readonly lives = new Map<NodeName, Life>()
   readonly jobs: Array<JobId> = []
@@ -91,6 +92,7 @@
       times: WORKERS,
       neverBoots: setup.neverBoots,
     })
+    this.troubles = new Troubles(this)
     for (let i = 0; i < setup.nodes; i++) this.sim.after(i * 150, () => this.start(this.names[i]!))
     const look = () => {
       this.rules.look()
@@ -129,7 +131,7 @@
 
   // --- controllers ------------------------------------------------------------
 
-  private zoneOf(host: string): string | null {
+  zoneOf(host: string): string | null {
     const index = this.names.indexOf(host as NodeName)
     if (index >= 0) return this.setup.zones[index % this.setup.zones.length]!
     return this.cloud.machines.get(host)?.zone ?? null
@@ -243,101 +245,6 @@
     if (at === null) life.process.freeze(ms)
     else life.freezeAt = { at, ms }
   }
-  /** One zone apart from everything outside of it. */
-  cutZone(zone: string, forMs: number, mode: CutMode): void {
-    const inside = (host: string) => this.zoneOf(host) === zone
-    this.sim.after(
-      forMs,
-      this.net.cut((a, b) => inside(a) && !inside(b), mode),
-    )
-  }
-  /** Controllers can't connect to each other. */
-  refusePeers(forMs: number): void {
-    const nodes = new Set<string>(this.names)
-    this.sim.after(
-      forMs,
-      this.net.cut((a, b) => nodes.has(a) && nodes.has(b), "reset"),
-    )
-  }
-  /** Machines stop with all that is on them; the list says so much later. */
-  die(count: number): void {
-    for (const machine of this.someMachines(count)) machine.die()
-  }
-
-  running(): ReadonlyArray<Machine> {
-    return [...this.cloud.machines.values()].filter((m) => m.status === "running" && !m.gone)
-  }
-  someMachines(count: number): ReadonlyArray<Machine> {
-    const from = [...this.running()]
-    const out: Array<Machine> = []
-    while (out.length < count && from.length > 0) {
-      out.push(...from.splice(Math.floor(this.sim.luck.next() * from.length), 1))
-    }
-    return out
-  }
-  cutMachines(count: number, forMs: number, mode: CutMode): void {
-    const ids = new Set(this.someMachines(count).map((m) => m.id))
-    this.sim.after(
-      forMs,
-      this.net.cut((a) => ids.has(a), mode),
-    )
-  }
-  cutZones(forMs: number, mode: CutMode): void {
-    const [one, two] = this.setup.zones
-    this.sim.after(
-      forMs,
-      this.net.cut((a, b) => this.zoneOf(a) === one && this.zoneOf(b) === two, mode),
-    )
-  }
-  /** One controller apart from the others; everything else reaches it. */
-  cutPeers(node: NodeName, forMs: number): void {
-    const others = new Set<string>(this.names.filter((n) => n !== node))
-    this.sim.after(
-      forMs,
-      this.net.cut((a, b) => a === node && others.has(b), "drop"),
-    )
-  }
-  /** Only the way from controllers to some machines: late `/orders`, while reports go through. */
-  cutOrders(forMs: number): void {
-    const nodes = new Set<string>(this.names)
-    const ids = new Set(this.running().map((m) => m.id))
-    this.sim.after(
-      forMs,
-      this.net.cutOneWay((from, to) => nodes.has(from) && ids.has(to), "hold"),
-    )
-  }
-  /** One controller that its workers and users still reach, without state service and other controllers. */
-  isolate(node: NodeName, forMs: number): void {
-    const lost = new Set<string>(["state", ...this.names.filter((n) => n !== node)])
-    this.sim.after(
-      forMs,
-      this.net.cut((a, b) => a === node && lost.has(b), "drop"),
-    )
-  }
-  /** Machines whose reports arrive, and that hear nothing. */
-  deafen(count: number, forMs: number): void {
-    const ids = new Set(this.someMachines(count).map((m) => m.id))
-    this.sim.after(
-      forMs,
-      this.net.cutOneWay((_, to) => ids.has(to), "drop"),
-    )
-  }
-  reboot(count: number, afterMs: number): void {
-    for (const machine of this.someMachines(count)) machine.reboot(afterMs)
-  }
-  hang(count: number, forMs: number): void {
-    for (const machine of this.someMachines(count)) {
-      machine.hang(true)
-      this.sim.after(forMs, () => machine.hang(false))
-    }
-  }
-  takeSpot(count: number, noticeMs: number): void {
-    for (const machine of this.someMachines(count)) {
-      machine.warningUntil = noticeMs > 0 ? this.sim.now + noticeMs : null
-      if (noticeMs > 0) machine.change()
-      this.sim.after(noticeMs, () => this.cloud.take(machine.id))
-    }
-  }
 
   // --- users ------------------------------------------------------------------
 
