--- a/packages/testkit/src/rules.ts
+++ b/packages/testkit/src/rules.ts
@@ -26,6 +26,8 @@
   startsAfterCancellation = 0
   /** No trouble is under way after this. */
   quietFrom = 0
+  /** When a controller last ended. */
+  lastCrashAt = Number.NEGATIVE_INFINITY
   readonly begunAt = new Map<string, number>()
   /** Told when a job's last task has completed, at that very moment. */
   readonly onComplete: Array<(job: string) => void> = []
--- a/packages/testkit/src/user-actions.ts
+++ b/packages/testkit/src/user-actions.ts
@@ -47,14 +47,20 @@
   },
   "cancel-at-end": (world, args) =>
     world.userTroubles.cancelAtEnds(number(args, 0, 0.3), seconds(args, 1, 60)),
+  "cancel-some": (world, args) => world.userTroubles.cancelSome(number(args, 0, 0.25), seconds(args, 1, 60)),
   "odd-requests": (world, args) => world.userTroubles.oddRequests(seconds(args, 0, 60)),
-  "close-polls": (world, args) => world.userTroubles.closePolls(seconds(args, 0, 60)),
+  "close-polls": (world, args) => world.userTroubles.closePolls(seconds(args, 0, 60), number(args, 1, 0.15)),
 }
 // Its former name.
 userActions["state-mute"] = userActions["lost-answers"]!
 
 /** Verbs of which the service takes no harm: the time until questions have to be answered again doesn't wait for their end. */
-export const HARMLESS: ReadonlySet<string> = new Set(["close-polls", "odd-requests", "cancel-at-end"])
+export const HARMLESS: ReadonlySet<string> = new Set([
+  "close-polls",
+  "odd-requests",
+  "cancel-at-end",
+  "cancel-some",
+])
 
 /** How often something really happened, by its name. */
 const happened = (world: World): Readonly<Record<string, number>> => ({
--- a/packages/testkit/src/user-rules.ts
+++ b/packages/testkit/src/user-rules.ts
@@ -30,6 +30,8 @@
   private readonly refusable = new Map<string, Refusal>()
   /** First question about a job since one was answered. */
   private readonly unansweredSince = new Map<string, number>()
+  /** When a job's first task completed. */
+  readonly firstFinishedAt = new Map<string, number>()
   private readonly doneTasks = new Map<string, Set<number>>()
 
   constructor(
@@ -55,6 +57,7 @@
   }
 
   finished(job: string, index: number): void {
+    if (!this.firstFinishedAt.has(job)) this.firstFinishedAt.set(job, this.sim.now)
     const done = this.doneTasks.get(job) ?? new Set()
     this.doneTasks.set(job, done.add(index))
   }
--- a/packages/testkit/src/user-troubles.ts
+++ b/packages/testkit/src/user-troubles.ts
@@ -8,17 +8,21 @@
 const CLOSE_POLLS_MS = [0, 0.3, 1, 2, 4, 8, 15, 30, 60, 120]
 /** An answer so soon after the event met its effects. */
 const CLOSE_MS = 150
-/** Of the jobs just accepted, the share that is cancelled at once. */
-const CANCELLED_AT_ONCE = 0.15
+/** Of jobs that are cancelled soon: how soon after they were accepted. */
+const CANCELLED_WITHIN_MS = 10_000
 const BURST_WITHIN_MS = 200
 /** A task has long to go if this much of its estimate is left. */
 const LONG_TO_GO_S = 15
 const MOST_HUNG = 8
+const FAR_APART_MS = 15_000
 const ODD_REQUEST_EVERY_MS = 700
 
 /** Requests of users that meet each other, or are odd; each can be counted. */
 export class UserTroubles {
   private closePollsUntil = 0
+  /** Of the jobs accepted meanwhile, the share that is cancelled at once. */
+  private cancelledAtOnce = 0
+  private cancelSoon = { share: 0, until: 0 }
   private cancelAtEnd = { share: 0, until: 0 }
   private oddJobs = 0
   readonly count = {
@@ -29,6 +33,8 @@
     /** Of the jobs that were cancelled as their last task ended: how the user was answered. */
     endsCancelled: 0,
     endsTold: 0,
+    /** Jobs whose tasks ended on both sides of a controller's end, many seconds apart. */
+    endsFarApart: 0,
     burst: 0,
     burstHung: 0,
     odd: 0,
@@ -45,14 +51,16 @@
   }
 
   /** All nodes are polled within milliseconds of each event, and submissions repeated. */
-  closePolls(forMs: number): void {
+  closePolls(forMs: number, cancelledAtOnce: number): void {
+    this.cancelledAtOnce = cancelledAtOnce
     this.closePollsUntil = Math.max(this.closePollsUntil, this.sim.now + forMs)
   }
   private told(event: Event, job: JobId): void {
+    if (event === "accepted") this.cancelLater(job)
     if (this.sim.now >= this.closePollsUntil) return
     if (event === "cancelled") return this.askAll(job, () => this.count.closeAfterCancelled++)
     this.askAll(job, () => this.count.closeAfterAccepted++)
-    if (this.sim.luck.chance(CANCELLED_AT_ONCE)) this.users.cancel(job)
+    if (this.sim.luck.chance(this.cancelledAtOnce)) this.users.cancel(job)
   }
   private askAll(job: JobId, met: () => void): void {
     const event = this.sim.now
@@ -65,12 +73,24 @@
     for (const ms of [1, 20, 90]) this.sim.after(ms, () => this.users.resubmit(job))
   }
 
+  /** That share of the jobs accepted meanwhile is cancelled soon after. */
+  cancelSome(share: number, forMs: number): void {
+    this.cancelSoon = { share, until: this.sim.now + forMs }
+  }
+  private cancelLater(job: JobId): void {
+    const { share, until } = this.cancelSoon
+    if (this.sim.now >= until || !this.sim.luck.chance(share)) return
+    this.sim.after(this.sim.luck.between(0, CANCELLED_WITHIN_MS), () => this.users.cancel(job))
+  }
   /** That share of the jobs that end is cancelled as the last task does. */
   cancelAtEnds(share: number, forMs: number): void {
     this.cancelAtEnd = { share, until: this.sim.now + forMs }
   }
   private completed(job: JobId): void {
     if (this.sim.now < this.closePollsUntil) this.askAll(job, () => this.count.closeAfterEnd++)
+    const first = this.rules.users.firstFinishedAt.get(job) ?? this.sim.now
+    const { lastCrashAt } = this.rules
+    if (first < lastCrashAt && first + FAR_APART_MS < this.sim.now) this.count.endsFarApart++
     const { share, until } = this.cancelAtEnd
     if (this.sim.now >= until || !this.sim.luck.chance(share)) return
     this.users.cancel(job, (_, state) => {
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -234,6 +234,7 @@
   }
 
   crash(name: NodeName, backAfterMs: number): void {
+    this.rules.lastCrashAt = this.sim.now
     this.lives.get(name)?.process.kill()
     this.lives.delete(name)
     this.net.close(name)
--- /dev/null
+++ b/scenarios/late-transactions.sexp
@@ -0,0 +1,10 @@
+(scenario "transactions without an answer are carried out late, after newer ones of the same controller"
+  (seed 74) (until 300) (capacity 12)
+  (at 4 (close-polls 120) (late-transactions 0.4 110))
+  (at 5 (stream 30 80 pieces 1 cores 1 run 2) (stream 10 80 pieces 3 cores 2 run 8 due 90))
+  (at 12 (cancel 1)) (at 30 (cancel 8)) (at 50 (cancel 15)) (at 70 (cancel 20))
+  (at 40 (crash host-0 4))
+  (expect (all-over) (happened lateAfterNewer 60) (happened lateRefused 40) (happened lateApplied 5))
+  (guard "packages/api/src/users.ts"
+    "{ path: keys.final(request.id), stamp: ABSENT },"
+    "{ path, stamp: ABSENT },"))
--- /dev/null
+++ b/scenarios/lost-answers-read.sexp
@@ -0,0 +1,8 @@
+(scenario "transactions are carried out and only their answers lost, while other nodes read what they wrote"
+  (seed 73) (until 260) (capacity 12)
+  (at 4 (close-polls 110) (lost-answers 0.4 100))
+  (at 5 (stream 30 80 pieces 1 cores 1 run 3) (stream 10 80 pieces 3 cores 2 run 8 due 90))
+  (at 12 (cancel 1)) (at 30 (cancel 8)) (at 50 (cancel 15)) (at 70 (cancel 20))
+  (at 40 (crash host-0 4))
+  (expect (all-over) (happened lostAnswers 50) (happened lostReadByOthers 20) (happened closeAfterAccepted 500))
+  (guard "packages/api/src/users.ts" "{ path, stamp: ABSENT }," "{ path: keys.final(request.id), stamp: ABSENT },"))
