Grant, margin and watch follow from lease_s and cancel_s; membership divided by concern

After a confirmed cancellation an owner that hears nothing of it ends by time alone: entitlement, then its workers' leases. The two bounds of entitlement (grant and fresh watch) were constants of 6 s; with lease_s 10 and cancel_s 13 their sum with the lease is 16 s. The module cancellation-budget derives them and holds the argument; `check` and the start refuse operators' grants that break the sum, naming file, field and sum. Settings of the platform that no grant can serve start all the same, with the shortest workable grant (1.5 s) and a logged error: a rule at risk in a rare meeting of troubles is better than no service.

Found on the way, in membership: - A node that joined counted its mirror as fresh from the moment at which it asked for its grant; it is as fresh as its read, which was sent before. - After a hand-back without an answer and a take-over that was refused, a node read its own former record and owned the part again under its former epoch, whose attempts and write numbers would have been used twice. An epoch is owned once now.

The stand-in answered open watches of a node that it alone refused; they wait as the protocol says. Without that, the scenario of a refused owner passed without its guard once the watches' timing moved.

--- a/packages/controller/src/controller.ts
+++ b/packages/controller/src/controller.ts
@@ -1,9 +1,9 @@
 import type { CloudClient } from "@sorreltally/cloud"
 import type { JobState } from "@sorreltally/jobs"
-import { DEADLINE, Membership, type PartKeeper, partOf } from "@sorreltally/membership"
+import { DEADLINE, type Host, Membership, partOf } from "@sorreltally/membership"
 import type { PeerChannel } from "@sorreltally/peers"
 import type { Need, QuotaNeed, Wants } from "@sorreltally/planner"
-import { type Operators, type Platform, sizesOf } from "@sorreltally/settings"
+import { cancellationBudget, type Operators, type Platform, sizesOf } from "@sorreltally/settings"
 import { type Entry, type JobRecord, keys, type StateClient, type StateTrouble } from "@sorreltally/state"
 import {
   Exchange,
@@ -84,24 +84,22 @@
     private readonly log: Log,
     private readonly fork: (effect: Effect.Effect<unknown>) => Fiber.Fiber<unknown>,
   ) {
-    const keeper: PartKeeper = {
+    const host: Host = {
       gained: (part, epoch) => this.gained(part, epoch),
       lost: (part) => this.lost(part),
       busy: () =>
         [...this.engines.values()].some(({ engine }) => engine.jobs.size + engine.machines.size > 0),
     }
     this.commands = new InFlight(sizesOf(platform).commands)
-    const { membership } = operators
     this.membership = new Membership(
       {
         self: platform.node_name,
         nodes,
-        grantTtlMs: membership["grant-ttl-ms"],
-        grantMarginMs: membership["grant-margin-ms"],
+        ...cancellationBudget(platform.facts.workers, operators.membership),
         stateRps: platform.facts.state.rps,
       },
       state,
-      keeper,
+      host,
       time.moment,
       log,
       fork,
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -1,6 +1,10 @@
 import {
-  type BadSettings,
+  BadSettings,
+  budgetHolds,
+  budgetInWords,
+  cancellationBudget,
   defaultOperators,
+  grantFault,
   type Operators,
   type Platform,
   parseOperators,
@@ -25,6 +29,9 @@
       options.operators === undefined
         ? defaultOperators()
         : yield* parseOperators(yield* readSettingsFile(options.operators), options.operators)
+    const fault = grantFault(platform.facts.workers, operators.membership)
+    if (fault !== null)
+      return yield* Result.fail(new BadSettings({ message: `${options.operators}: ${fault}` }))
     return { platform, operators }
   })
 
@@ -59,7 +66,11 @@
 withFiles(program.command("check"))
   .description("check the settings and start nothing")
   .action((options: Options) => {
-    const { platform } = orExit(load(options))
-    process.stdout.write(`settings are fine: ${platform.node_name}, ${platform.facts.teams.length} teams\n`)
+    const { platform, operators } = orExit(load(options))
+    const { workers, teams } = platform.facts
+    const budget = cancellationBudget(workers, operators.membership)
+    if (!budgetHolds(budget)) process.stdout.write("warning: no grant is short enough for cancel_s\n")
+    process.stdout.write(`cancellations: ${budgetInWords(workers, budget)}\n`)
+    process.stdout.write(`settings are fine: ${platform.node_name}, ${teams.length} teams\n`)
   })
 program.parse()
--- a/packages/daemon/src/service.ts
+++ b/packages/daemon/src/service.ts
@@ -1,6 +1,13 @@
 import { BODY_LIMIT } from "@sorreltally/api"
 import { openSockets } from "@sorreltally/peers"
-import { type Operators, type Platform, sizesOf } from "@sorreltally/settings"
+import {
+  budgetHolds,
+  budgetInWords,
+  cancellationBudget,
+  type Operators,
+  type Platform,
+  sizesOf,
+} from "@sorreltally/settings"
 import { Exchange, type Log } from "@sorreltally/wire"
 import { Effect } from "effect"
 import { httpExchange, serveHttp } from "./http.ts"
@@ -31,6 +38,17 @@
       (effect, onExit) => Effect.runCallbackWith(context)(effect, { onExit }),
       log,
     )
+    logBudget(platform, operators, log)
     log.info("started", { node: platform.node_name, listen: platform.listen })
     yield* node.run
   })
+
+/** States how soon cancelled tasks are surely gone, and warns when the platform's settings allow no such time. */
+const logBudget = ({ facts }: Platform, operators: Operators, log: Log): void => {
+  const budget = cancellationBudget(facts.workers, operators.membership)
+  const { grantTtlMs, grantMarginMs, watchFreshMs } = budget
+  const sum = budgetInWords(facts.workers, budget)
+  log.info("cancellation budget", { grantTtlMs, grantMarginMs, watchFreshMs, sum })
+  if (!budgetHolds(budget))
+    log.error("cancelled tasks may outlive cancel_s when the state service fails", { sum })
+}
--- a/packages/membership/src/freshness.ts
+++ b/packages/membership/src/freshness.ts
@@ -20,6 +20,8 @@
     private readonly state: StateClient,
     private readonly mirror: Mirror,
     private readonly spacingMs: number,
+    /** Told when the mirror has been brought up, and when that was asked for. */
+    private readonly broughtUp: (sent: Moment) => void,
     private readonly now: () => Moment,
     private readonly fork: (effect: Effect.Effect<unknown>) => void,
   ) {}
@@ -46,6 +48,7 @@
         this.waiting = []
         this.lastSent = this.now()
         const done = yield* Effect.result(this.bringUp())
+        if (Result.isSuccess(done)) this.broughtUp(this.lastSent)
         for (const waiter of asked)
           yield* Result.isSuccess(done)
             ? Deferred.succeed(waiter, undefined)
--- /dev/null
+++ b/packages/membership/src/grant-keeper.ts
@@ -0,0 +1,122 @@
+import { type Entry, keys, type LiveRecord, type StateClient } from "@sorreltally/state"
+import {
+  ABSENT,
+  type GrantId,
+  type Incarnation,
+  type Log,
+  later,
+  type Moment,
+  NEVER,
+  type NodeName,
+  type Stamp,
+} from "@sorreltally/wire"
+import { Effect, Random, Result } from "effect"
+
+export interface GrantTimes {
+  readonly grantTtlMs: number
+  readonly grantMarginMs: number
+}
+
+/** One life of a controller under its name, and the grant that it lasts as long as. */
+export interface Standing {
+  readonly incarnation: Incarnation
+  readonly grant: GrantId
+  /** Revision of the live key, which goes when the grant ends. */
+  readonly liveStamp: Stamp
+}
+
+/** Touches in a grant's ttl while all goes well; one or two may get lost. */
+const TOUCHES_PER_TTL = 5
+/** A touch that failed is repeated sooner. */
+const RETRIES_PER_TTL = 10
+const LONGEST_TOUCH_MS = 2_000
+
+/** Obtains the node's grant and live key, and renews them until the grant has ended. */
+export class GrantKeeper {
+  private standing: Standing | null = null
+  private validUntil: Moment = NEVER
+
+  constructor(
+    private readonly self: NodeName,
+    private readonly times: GrantTimes,
+    private readonly state: StateClient,
+    private readonly now: () => Moment,
+    private readonly log: Log,
+  ) {}
+
+  get current(): Standing | null {
+    return this.standing
+  }
+  /** Whether the grant surely lives. */
+  holds(now: Moment): boolean {
+    return this.standing !== null && now < this.validUntil
+  }
+
+  /** Returns the live key as written. `items` is what a read has just found. */
+  join(items: ReadonlyArray<Entry>) {
+    return Effect.gen({ self: this }, function* () {
+      const path = keys.live(this.self)
+      const former = items.find((item) => item.path === path)
+      if (former !== undefined) {
+        // Whoever held this name is dead, for we run under it now. Ending its
+        // grant frees its parts at once instead of when the grant runs out;
+        // what it still has under way is fenced by the parts' new epochs.
+        yield* this.state.revoke((former.v as LiveRecord).grant)
+      }
+      const incarnation = yield* this.newIncarnation()
+      const asked = this.now()
+      const grant = yield* this.state.grant(this.times.grantTtlMs)
+      const record: LiveRecord = { incarnation, grant }
+      const set = { set: path, v: record, permit: grant }
+      // A copy of this that is carried out late finds the key there, or the grant ended.
+      const won = yield* this.state.multi([{ path, stamp: ABSENT }], [set], 0)
+      if (!won.ok) return yield* Effect.fail("the former grant still stands" as const)
+      this.standing = { incarnation, grant, liveStamp: won.epoch }
+      this.extend(asked)
+      return { path, v: record, stamp: won.epoch }
+    })
+  }
+  private newIncarnation() {
+    return Effect.gen({ self: this }, function* () {
+      const high = yield* Random.nextInt
+      const low = yield* Random.nextInt
+      const digits = Math.abs(high).toString(36) + Math.abs(low).toString(36)
+      return `${this.self}.${digits}` as Incarnation
+    })
+  }
+  leave(): void {
+    this.standing = null
+    this.validUntil = NEVER
+  }
+
+  /** Ends when the grant has. */
+  readonly renew: Effect.Effect<void> = Effect.suspend(() =>
+    Effect.gen({ self: this }, function* () {
+      const { grantTtlMs } = this.times
+      const timeoutMs = Math.min(LONGEST_TOUCH_MS, grantTtlMs / 3)
+      let pauseMs = grantTtlMs / TOUCHES_PER_TTL
+      for (;;) {
+        yield* Effect.sleep(pauseMs)
+        if (this.standing === null) return
+        const sent = this.now()
+        const touched = yield* Effect.result(this.state.touch(this.standing.grant, timeoutMs))
+        if (Result.isFailure(touched)) {
+          this.log.debug("touch failed", { status: touched.failure.status })
+          pauseMs = grantTtlMs / RETRIES_PER_TTL
+          continue
+        }
+        if (!touched.success) return
+        this.extend(sent)
+        pauseMs = grantTtlMs / TOUCHES_PER_TTL
+      }
+    }),
+  )
+  /**
+   * Counted from the sending of our own request, never from an outage's end:
+   * the state service then gives the grant its full time again, but who was out of
+   * touch may have missed cancellations meanwhile.
+   */
+  private extend(sent: Moment): void {
+    this.validUntil = later(sent, this.times.grantTtlMs - this.times.grantMarginMs)
+  }
+}
--- /dev/null
+++ b/packages/membership/src/part-ownership.ts
@@ -0,0 +1,236 @@
+import { keys, type LiveRecord, type PartRecord, type StateClient } from "@sorreltally/state"
+import {
+  type Incarnation,
+  type Log,
+  later,
+  type Moment,
+  NEVER,
+  type NodeName,
+  type PartName,
+  type Stamp,
+} from "@sorreltally/wire"
+import { Effect, Result } from "effect"
+import type { GrantKeeper } from "./grant-keeper.ts"
+import type { Mirror } from "./mirror.ts"
+import { DEADLINE, homeOf, preferredOwner } from "./parts.ts"
+
+/** What the rest of the controller does when a part comes or goes. Both are synchronous. */
+export interface PartListener {
+  readonly gained: (part: PartName, epoch: Stamp) => void
+  readonly lost: (part: PartName) => void
+}
+
+/** How long a part that never had an owner waits for the node it is meant for. */
+const FIRST_START_MS = 4_000
+/** How long a node that isn't the preferred owner waits for that one, and how much longer for each rank. */
+const RIVAL_WAIT_MS = 1_500
+const RIVAL_RANK_MS = 500
+/** How long a node has to be back before it gets a part back, and the pause between two. */
+const BACK_FOR_MS = 15_000
+const HAND_BACK_SPACING_MS = 5_000
+const LOOP_MS = 250
+const RETRY_MS = 300
+
+interface AliveSince {
+  readonly incarnation: Incarnation | null
+  readonly at: Moment
+}
+
+/**
+ * Which parts this node owns, and how it comes by them: take-overs of parts
+ * without an owner, and hand-backs to nodes that have returned.
+ */
+export class PartOwnership {
+  private readonly owned = new Map<PartName, Stamp>()
+  /** The last epoch under which this process owned a part. */
+  private readonly lastEpoch = new Map<PartName, Stamp>()
+  private readonly aliveSince = new Map<NodeName, AliveSince>()
+  private readonly orphanSince = new Map<PartName, Moment>()
+  private handedBackAt: Moment = NEVER
+
+  constructor(
+    private readonly self: NodeName,
+    private readonly nodes: ReadonlyArray<NodeName>,
+    private readonly parts: ReadonlyArray<PartName>,
+    private readonly state: StateClient,
+    private readonly mirror: Mirror,
+    private readonly grant: GrantKeeper,
+    private readonly entitled: () => boolean,
+    private readonly listener: PartListener,
+    private readonly now: () => Moment,
+    private readonly log: Log,
+  ) {
+    this.mirror.listen("s/part/", (path, entry) => {
+      const part = path.slice("s/part/".length) as PartName
+      const epoch = this.owned.get(part)
+      if (epoch !== undefined && entry !== null && entry.stamp > epoch) this.drop(part, "taken over")
+    })
+  }
+
+  /** The owner on record, if it is still the process that took the part over. */
+  owner(part: PartName): NodeName | null {
+    const record = this.mirror.get<PartRecord>(keys.part(part))
+    if (record === null || record.v.owner === null) return null
+    return this.incarnationOf(record.v.owner) === record.v.incarnation ? record.v.owner : null
+  }
+  private alive(): ReadonlySet<NodeName> {
+    return new Set(this.nodes.filter((node) => this.incarnationOf(node) !== null))
+  }
+  private incarnationOf(node: NodeName): Incarnation | null {
+    return this.mirror.get<LiveRecord>(keys.live(node))?.v.incarnation ?? null
+  }
+
+  disown(part: PartName, why: string): void {
+    if (this.owned.has(part)) this.drop(part, why)
+  }
+  dropAll(why: string): void {
+    for (const part of [...this.owned.keys()]) this.drop(part, why)
+  }
+  private drop(part: PartName, why: string): void {
+    this.owned.delete(part)
+    this.log.info("part lost", { part, why })
+    this.listener.lost(part)
+  }
+  private gain(part: PartName, epoch: Stamp, from: NodeName | null): void {
+    // A former ownership of ours may still have writes under way that only a
+    // new epoch fences, and its attempts and write numbers would be used twice.
+    const former = this.lastEpoch.get(part)
+    if (former !== undefined && epoch <= former) return
+    // Our answer was late, and somebody else is the owner by now.
+    if (this.mirror.stamp(keys.part(part)) > epoch) return
+    this.owned.set(part, epoch)
+    this.lastEpoch.set(part, epoch)
+    this.log.info("part taken", { part, epoch, from })
+    this.listener.gained(part, epoch)
+  }
+
+  readonly run: Effect.Effect<never> = Effect.suspend(() =>
+    Effect.forever(
+      Effect.gen({ self: this }, function* () {
+        if (this.entitled()) {
+          for (const part of this.parts) {
+            if (this.wants(part)) yield* this.takeOver(part)
+          }
+          yield* this.handBack()
+        }
+        yield* Effect.sleep(LOOP_MS)
+      }),
+    ),
+  )
+
+  // --- hand-backs -------------------------------------------------------------
+
+  /**
+   * A node that is back for a while gets its part back, one part at a time: a
+   * node that took over several does all their work, and all their calls.
+   */
+  private handBack() {
+    return Effect.gen({ self: this }, function* () {
+      const now = this.now()
+      this.noteWhoIsAlive(now)
+      if (now < later(this.handedBackAt, HAND_BACK_SPACING_MS)) return
+      for (const [part, epoch] of this.owned) {
+        const home = this.returnedHomeOf(part, now)
+        if (home === null) continue
+        this.handedBackAt = now
+        // First we stop, then the record says so: if it never does, we are the
+        // owner on record without being one, and take the part over again.
+        this.drop(part, `handed back to ${home}`)
+        return yield* this.release(part, epoch)
+      }
+    })
+  }
+  private noteWhoIsAlive(now: Moment): void {
+    for (const node of this.nodes) {
+      const incarnation = this.incarnationOf(node)
+      const known = this.aliveSince.get(node)
+      if (known === undefined || known.incarnation !== incarnation)
+        this.aliveSince.set(node, { incarnation, at: now })
+    }
+  }
+  /** The node that the part is meant for, if that isn't this one and has been back for long enough. */
+  private returnedHomeOf(part: PartName, now: Moment): NodeName | null {
+    // The leader stays where it is: its move would be felt by every deadline.
+    if (part === DEADLINE) return null
+    const home = homeOf(part, this.nodes)
+    if (home === null || home === this.self) return null
+    const since = this.aliveSince.get(home)
+    if (since === undefined || since.incarnation === null) return null
+    return now < later(since.at, BACK_FOR_MS) ? null : home
+  }
+  /** Conditioned on our epoch: carried out late, after somebody took the part over, it does nothing. */
+  private release(part: PartName, epoch: Stamp) {
+    return Effect.gen({ self: this }, function* () {
+      const path = keys.part(part)
+      const record: PartRecord = { owner: null, incarnation: null }
+      const done = yield* Effect.result(
+        this.state.multi([{ path, stamp: epoch }], [{ set: path, v: record }], 0),
+      )
+      if (Result.isSuccess(done) && done.success.ok)
+        this.mirror.hint({ path, v: record, stamp: done.success.epoch })
+    })
+  }
+
+  // --- take-overs -------------------------------------------------------------
+
+  private wants(part: PartName): boolean {
+    if (this.owned.has(part)) return false
+    const owner = this.owner(part)
+    // Ours by the record yet not owned: we disowned it, and need a new epoch.
+    if (owner !== null && owner !== this.self) {
+      this.orphanSince.delete(part)
+      return false
+    }
+    const now = this.now()
+    const since = this.orphanSince.get(part) ?? now
+    this.orphanSince.set(part, since)
+    return now - since >= this.patienceMs(part)
+  }
+  /**
+   * Others wait a little, so that the preferred owner usually meets no rival;
+   * a part that nobody ever owned waits for its home to start.
+   */
+  private patienceMs(part: PartName): number {
+    const unborn = this.mirror.get(keys.part(part)) === null && homeOf(part, this.nodes) !== this.self
+    if (unborn) return FIRST_START_MS
+    if (preferredOwner(part, this.nodes, this.alive()) === this.self) return 0
+    return RIVAL_WAIT_MS + RIVAL_RANK_MS * this.nodes.indexOf(this.self)
+  }
+
+  private takeOver(part: PartName) {
+    return Effect.gen({ self: this }, function* () {
+      const standing = this.grant.current
+      if (standing === null) return
+      const path = keys.part(part)
+      const record: PartRecord = { owner: this.self, incarnation: standing.incarnation }
+      const from = this.mirror.get<PartRecord>(path)?.v.owner ?? null
+      // The former owner's live key must be gone and our own must stand: a late
+      // copy of this transaction changes nothing.
+      const when = [
+        { path, stamp: this.mirror.stamp(path) },
+        { path: keys.live(this.self), stamp: standing.liveStamp },
+      ]
+      if (from !== null && from !== this.self)
+        when.push({ path: keys.live(from), stamp: this.mirror.stamp(keys.live(from)) })
+      const won = yield* Effect.result(this.state.multi(when, [{ set: path, v: record }], 0))
+      if (Result.isFailure(won) || !won.success.ok) return yield* this.lookWhoOwns(part, from)
+      this.mirror.hint({ path, v: record, stamp: won.success.epoch })
+      this.gain(part, won.success.epoch, from)
+    })
+  }
+  /**
+   * Lost the race, or don't know. If we did win without hearing of it, the
+   * record says so; if it says nothing new, the next attempt gives a clean epoch.
+   */
+  private lookWhoOwns(part: PartName, from: NodeName | null) {
+    return Effect.gen({ self: this }, function* () {
+      const read = yield* Effect.result(this.state.get(keys.part(part)))
+      if (Result.isFailure(read) || read.success === null) return yield* Effect.sleep(RETRY_MS)
+      const seen = read.success
+      this.mirror.hint(seen)
+      const { owner, incarnation } = seen.v as PartRecord
+      const ours = owner === this.self && incarnation === this.grant.current?.incarnation
+      if (ours && !this.owned.has(part)) this.gain(part, seen.stamp, from)
+    })
+  }
+}
--- /dev/null
+++ b/packages/settings/test/cancellation-budget.test.ts
@@ -0,0 +1,79 @@
+import assert from "node:assert/strict"
+import { test } from "node:test"
+import {
+  budgetHolds,
+  budgetInWords,
+  CLOCK_DRIFT,
+  cancellationBudget,
+  defaultOperators,
+  grantFault,
+} from "../src/index.ts"
+
+const derived = defaultOperators().membership
+const withTtl = (ttl: number) => ({ ...derived, "grant-ttl-ms": ttl })
+
+test("usual settings leave room for the usual grant", () => {
+  for (const [lease_s, cancel_s] of [
+    [27, 47],
+    [30, 50],
+    [20, 28],
+  ] as const) {
+    const budget = cancellationBudget({ lease_s, cancel_s }, derived)
+    assert.equal(budget.grantTtlMs, 6_000)
+    assert.equal(budget.grantMarginMs, 400)
+    assert.equal(budget.watchFreshMs, 6_000)
+    assert.equal(budgetHolds(budget), true)
+  }
+})
+
+test("a tight cancel_s shortens grant and watch together", () => {
+  const budget = cancellationBudget({ lease_s: 10, cancel_s: 13 }, derived)
+  // 13 s - 10.005 s - 0.25 s of reaction, on a clock that may run slow.
+  assert.equal(budget.watchFreshMs, 2_743)
+  assert.equal(budget.grantTtlMs, 2_743)
+  assert.equal(budget.grantMarginMs, 183)
+  assert.equal(Math.ceil(budget.worstCaseMs), 13_000)
+})
+
+test("wherever any workable grant serves, the derived one does, on the slowest clocks", () => {
+  for (let lease_s = 1; lease_s <= 120; lease_s += 0.5) {
+    for (let spare_s = 1.9; spare_s <= 30; spare_s += 0.1) {
+      const cancel_s = lease_s + spare_s
+      const budget = cancellationBudget({ lease_s, cancel_s }, derived)
+      const entitlementMs = Math.max(budget.watchFreshMs, budget.grantTtlMs - budget.grantMarginMs)
+      const goneByMs = (entitlementMs + lease_s * 1000) * (1 + CLOCK_DRIFT)
+      assert.ok(goneByMs < cancel_s * 1000, `${lease_s}/${cancel_s}: ${goneByMs} ms`)
+      assert.equal(budgetHolds(budget), true)
+      // The grant can't end on the service's clock before the margin has passed on ours.
+      assert.ok(budget.grantMarginMs > budget.grantTtlMs * CLOCK_DRIFT)
+    }
+  }
+})
+
+test("settings of the platform that no grant can serve get the shortest workable one", () => {
+  for (const cancel_s of [5, 27, 28]) {
+    const times = { lease_s: 27, cancel_s }
+    const budget = cancellationBudget(times, derived)
+    assert.equal(budget.grantTtlMs, 1_500)
+    assert.equal(budget.watchFreshMs, 1_500)
+    assert.equal(budgetHolds(budget), false)
+    assert.match(budgetInWords(times, budget), /beyond cancel_s/)
+    assert.equal(grantFault(times, derived), null)
+  }
+})
+
+test("operators' grants that break the sum are refused with the field and the sum", () => {
+  const times = { lease_s: 27, cancel_s: 47 }
+  assert.equal(grantFault(times, withTtl(15_000)), null)
+  assert.match(
+    grantFault(times, withTtl(30_000)) ?? "",
+    /membership grant-ttl-ms: 30000 ms .* entitlement 29\.60 s \+ lease 27\.00 s .* beyond cancel_s 47\.00 s; at most 20126 ms/,
+  )
+  assert.equal(grantFault(times, withTtl(20_126)), null)
+  assert.match(grantFault({ lease_s: 10, cancel_s: 13 }, withTtl(6_000)) ?? "", /at most 3143 ms/)
+  assert.match(grantFault({ lease_s: 27, cancel_s: 20 }, withTtl(6_000)) ?? "", /at most 1900 ms/)
+  assert.match(
+    grantFault(times, { "grant-ttl-ms": 6_000, "grant-margin-ms": 4_000 }) ?? "",
+    /grant-margin-ms: a margin of 4000 ms leaves too little of a grant of 6000 ms/,
+  )
+})
--- a/packages/state/src/client.ts
+++ b/packages/state/src/client.ts
@@ -70,7 +70,13 @@
   /** False: the grant has ended. */
   readonly touch: (grant: GrantId, timeoutMs: number) => Effect.Effect<boolean, StateTrouble>
   readonly revoke: (grant: GrantId) => Effect.Effect<void, StateTrouble>
-  readonly watch: (prefix: string, after: Revision, blockMs: number) => Effect.Effect<News, StateTrouble>
+  /** Given up when no answer has come `answerMs` after the blocking time. */
+  readonly watch: (
+    prefix: string,
+    after: Revision,
+    blockMs: number,
+    answerMs?: number,
+  ) => Effect.Effect<News, StateTrouble>
   readonly limits: StateLimits
   /** Changes a second that this node made of late; and what the others say of theirs. */
   readonly usage: () => number
@@ -81,6 +87,7 @@
 const silence = (_: NoAnswer) => new StateTrouble({ outcome: "unknown", status: 0 })
 
 const REQUEST_TIMEOUT_MS = 1_500
+const WATCH_ANSWER_MS = 2_000
 /** How often a transaction that came at a bad moment is sent again, and the pause before. */
 const MOST_TURNS = 5
 const TURN_MS = 70
@@ -183,13 +190,13 @@
         Effect.flatMap(call("DELETE", `/grants/${grant}`), (reply) =>
           reply.status === 200 || reply.status === 404 ? Effect.void : Effect.fail(trouble(reply)),
         ),
-      watch: (prefix, after, blockMs) =>
+      watch: (prefix, after, blockMs, answerMs = WATCH_ANSWER_MS) =>
         Effect.flatMap(
           call(
             "GET",
             `/watch?starts=${encodeURIComponent(prefix)}&after=${after}&block_ms=${blockMs}`,
             undefined,
-            blockMs + 2_000,
+            blockMs + answerMs,
           ),
           (reply): Effect.Effect<News, StateTrouble> => {
             if (reply.status === 410) return Effect.succeed({ kind: "too-old" })
--- a/packages/testkit/src/state.ts
+++ b/packages/testkit/src/state.ts
@@ -73,6 +73,9 @@
     if (on) this.refused.add(node)
     else this.refused.delete(node)
   }
+  refuses(node: string): boolean {
+    return this.refused.has(node)
+  }
   private renewAll(): void {
     for (const grant of this.grants.values()) grant.until = this.sim.now + grant.ttl
   }
@@ -82,7 +85,7 @@
     from: string,
     answer: (a: { status: number; body: unknown }) => void,
   ): void {
-    if (this.down || this.refused.has(from)) {
+    if (this.down || this.refuses(from)) {
       if (request.path.startsWith("/watch")) return
       return answer({ status: 503, body: { error: "trouble" } })
     }
@@ -116,7 +119,7 @@
       if (done !== null) answer(done)
       return
     }
-    if (url.pathname === "/watch") return this.watch(url, answer)
+    if (url.pathname === "/watch") return this.watch(url, from, answer)
     if (url.pathname === "/grants") {
       const ttl = body["ttl_ms"] as number
       this.grants.set(++this.permits, { ttl, until: this.sim.now + ttl })
@@ -179,7 +182,7 @@
     if (this.news.length > KEPT_NEWS) this.news.shift()
   }
 
-  private watch(url: URL, answer: (a: { status: number; body: unknown }) => void): void {
+  private watch(url: URL, from: string, answer: (a: { status: number; body: unknown }) => void): void {
     const prefix = url.searchParams.get("starts") ?? ""
     const after = Number(url.searchParams.get("after"))
     const oldest = this.news[0]?.epoch ?? 1
@@ -195,8 +198,10 @@
     let over = false
     const look = (final: boolean) => {
       if (over) return
-      const found = this.down ? [] : news()
-      if (found.length === 0 && (!final || this.down)) {
+      // Open watches wait through an outage, and while their node alone is refused.
+      const blocked = this.down || this.refuses(from)
+      const found = blocked ? [] : news()
+      if (found.length === 0 && (!final || blocked)) {
         this.waiting.push(() => look(false))
         if (final) this.sim.after(200, () => look(true))
         return
--- a/scenarios/isolated.sexp
+++ b/scenarios/isolated.sexp
@@ -4,4 +4,4 @@
   (at 20 (isolate host-0 90)) (at 24 (cancel 0)) (at 26 (submit pieces 6 cores 4 run 10 due 100))
   (at 40 (crash host-1 0.2)) (at 41 (crash host-2 0.3))
   (expect (withdrawn 1) (all-over) (begun-within 60))
-  (guard "packages/membership/src/membership.ts" "return this.current !== null && now < this.grantUntil && now < this.freshUntil" "return this.current !== null && now > 0"))
+  (guard "packages/membership/src/membership.ts" "return this.grant.holds(now) && this.watch.isFresh(now)" "return this.incarnation() !== null"))
