--- a/packages/testkit/src/state.ts
+++ b/packages/testkit/src/state.ts
@@ -77,6 +77,9 @@
     if (on) this.refused.add(node)
     else this.refused.delete(node)
   }
+  refuses(node: string): boolean {
+    return this.refused.has(node)
+  }
   private renewAll(): void {
     for (const grant of this.grants.values()) grant.until = this.sim.now + grant.ttl
   }
@@ -86,7 +89,7 @@
     from: string,
     answer: (a: { status: number; body: unknown }) => void,
   ): void {
-    if (this.down || this.refused.has(from)) {
+    if (this.down || this.refuses(from)) {
       if (request.path.startsWith("/watch")) return
       return answer({ status: 503, body: { error: "trouble" } })
     }
@@ -205,8 +208,10 @@
     let over = false
     const look = (final: boolean) => {
       if (over) return
-      const found = this.down ? [] : news()
-      if (found.length === 0 && (!final || this.down)) {
+      // Open watches wait through an outage, and while their node alone is refused.
+      const blocked = this.down || this.refuses(from)
+      const found = blocked ? [] : news()
+      if (found.length === 0 && (!final || blocked)) {
         this.waiting.push(() => look(false))
         if (final) this.sim.after(200, () => look(true))
         return
