All jobs of a team together rent within what its limit leaves them

Cause: each job's rentals were bounded by its team's room for itself. With every team at its limit, thirty jobs each asked for machines for the same room; and an empty machine stayed as long as any queued task, of whatever job, had its size, though no limit let that task start.

Ruled out: the deadline formula itself. It asks for what a job needs; it is the bound around it that was counted once a job.

Now a plan keeps each team's room in one place: what it places, expects on machines that are up or coming, or rents takes its part of it. What the market can't give one job stays for the others of its team. The tasks told to other parts, and those for which room is made by stopping others, are counted the same way. A plan names the empty machines of use to no queued task; they go back at the end of their window, and a job held back by its limit gives up those it holds, one at a time.

--- a/packages/controller/src/engine.ts
+++ b/packages/controller/src/engine.ts
@@ -104,6 +104,8 @@
   private readonly held: HeldReports
   private roomChanges = 0
   private workWaits = false
+  /** Empty machines that the last plan found no use for. */
+  private idle: ReadonlySet<MachineId> = new Set()
   private lookedAt: Moment = NEVER
   private lately: { readonly at: Moment; readonly load: Load } | null = null
   private statusAt: Moment = NEVER
@@ -134,6 +136,7 @@
       lend: (session, to, needs) => this.lendMachine(session, to, needs),
       steadyWanted: () => this.ctx.time.moment() < later(this.steadyWantedAt, STEADY_LINGERS_MS),
       reserve: () => this.reserve(),
+      isIdle: (id) => this.idle.has(id),
     })
   }
 
@@ -628,6 +631,7 @@
     })
     this.carryOut(decided, now)
     this.workWaits = decided.unplaced.length > 0
+    this.idle = decided.idle
     if (decided.steadyWanted) {
       this.steadyWantedAt = now
       for (const tenancy of this.tenancies.values()) tenancy.closing = false
--- /dev/null
+++ b/packages/planner/src/limits.ts
@@ -0,0 +1,34 @@
+/**
+ * What the teams' limits still allow, over all jobs of a plan. Each task that
+ * a plan places, expects on a machine or rents a machine for takes its part
+ * of the team's room, so that the jobs of one team never count on the same
+ * room twice.
+ */
+import type { TeamName } from "@sorreltally/wire"
+import { type JobView, slotsIn, type TeamRoom } from "./model.ts"
+
+/** How many tasks of the job a team's room holds; memory isn't limited by team. */
+export const tasksWithin = ({ request }: JobView, room: TeamRoom): number =>
+  slotsIn(request, { ...room, mem_gb: Number.POSITIVE_INFINITY })
+
+/** Room of every team, used up task by task. */
+export class LimitRoom {
+  private readonly teams = new Map<TeamName, TeamRoom>()
+
+  constructor(limits: ReadonlyMap<TeamName, TeamRoom>) {
+    for (const [team, room] of limits) this.teams.set(team, { ...room })
+  }
+
+  /** How many more tasks the job's team may use. */
+  tasksLeft(job: JobView): number {
+    const room = this.teams.get(job.request.owner)
+    return room === undefined ? 0 : tasksWithin(job, room)
+  }
+
+  take({ request }: JobView, tasks: number): void {
+    const room = this.teams.get(request.owner)
+    if (room === undefined) return
+    room.cores -= request.cores * tasks
+    room.accelerators -= request.accelerators * tasks
+  }
+}
--- a/packages/planner/src/model.ts
+++ b/packages/planner/src/model.ts
@@ -162,6 +162,8 @@
   readonly steadyWanted: boolean
   /** Queued tasks for which no machine of ours that is up has room, most urgent job first. */
   readonly unplaced: ReadonlyArray<Unplaced>
+  /** Machines that are up, empty and of use to no queued task: none fits, or the teams' limits let none start. */
+  readonly idle: ReadonlySet<MachineId>
 }
 
 export const EPSILON = 1e-6
--- a/packages/planner/src/plan.ts
+++ b/packages/planner/src/plan.ts
@@ -1,5 +1,6 @@
 import type { JobId, MachineId, MachineType, ZoneName } from "@sorreltally/wire"
 import { canGiveBack, extraResources, newMachinesComeInTime } from "./deadline.ts"
+import { LimitRoom, tasksWithin } from "./limits.ts"
 import {
   allowed,
   EPSILON,
@@ -108,6 +109,16 @@
     }
   }
 
+  const rentable = new LimitRoom(snapshot.limits)
+  const borrowable = new LimitRoom(snapshot.limits)
+  const startableNow = new LimitRoom(snapshot.teams)
+  for (const job of jobs) {
+    const placed = job.queued - (queued.get(job.id) ?? 0)
+    rentable.take(job, placed)
+    borrowable.take(job, placed)
+  }
+  const limited: Array<JobView> = []
+
   let ahead = 0
   let steadyWanted = false
   const hires = new Map<Hireable, { count: number; readonly holder: JobId }>()
@@ -122,28 +133,85 @@
     }
     const late = startTooLate(job, pending, ahead, snapshot)
     ahead += pending * job.request.cores
-    const room = roomOf(job, snapshot.limits)
-    if (job.mayStart && room > 0) {
-      const startable = Math.min(pending, roomOf(job, snapshot.teams))
-      unplaced.push({ job, tasks: Math.min(pending, room), startable, pressing: Math.min(late, room) })
+    const room = rentable.tasksLeft(job)
+    const allowedTasks = Math.min(pending, room)
+    if (allowedTasks < pending) limited.push(job)
+    const borrowed = Math.min(pending, borrowable.tasksLeft(job))
+    if (job.mayStart && borrowed > 0) {
+      const startable = Math.min(pending, startableNow.tasksLeft(job))
+      unplaced.push({ job, tasks: borrowed, startable, pressing: Math.min(late, borrowed) })
+      borrowable.take(job, borrowed)
+      startableNow.take(job, startable)
     }
-    let missing = wanted(job, pending, running.get(job.id) ?? 0, comingKinds, snapshot)
+    // The limit's room that tasks on machines that are up, or coming, will take is no reason to rent more.
+    const onUp = expectOnUp(job, allowedTasks, zones.get(job.id) ?? job.zones, floor, snapshot.reserve)
+    const { requested, missing } = wanted(
+      job,
+      pending,
+      running.get(job.id) ?? 0,
+      allowedTasks - onUp,
+      comingKinds,
+      snapshot,
+    )
     if (missing === 0) releaseOne(job, own, running.get(job.id) ?? 0, holders, pending)
-    missing = Math.min(missing, room)
     const steady = steadyHelps(job, late, snapshot.deploymentS)
     // What is up needs no boot: it stays for all that spot has no room for and that comes too late.
     steadyWanted ||= room > 0 && (late > 0 || (missing > 0 && steady)) && !spotOpen(job, snapshot)
-    hire(job, missing, steady, snapshot, hires, comingKinds)
+    const asked = hire(job, missing, steady, snapshot, hires, comingKinds)
+    // What the market can't give a job stays for the others of its team.
+    rentable.take(job, onUp + requested + asked)
   }
+  for (const job of limited) releaseIdle(held.get(job.id) ?? [], holders)
   return {
     placements,
     hires: [...hires].map(([hireable, { count, holder }]): PlannedHire => ({ hireable, count, holder })),
     holders,
     steadyWanted,
     unplaced,
+    idle: new Set(up.filter(isIdle).map(({ machine }) => machine.id)),
   }
 }
 
+/** Nothing runs there, and no queued task is placed or expected there: each of those replaces `free`. */
+const isIdle = ({ machine, free }: Slot): boolean =>
+  machine.state === "up" && machine.busyTasks === 0 && free === machine.free
+
+/**
+ * Takes room on machines that are up for queued tasks that wait for something
+ * else than a machine: for their part's share of the team's limit, mostly.
+ * Returns for how many.
+ */
+const expectOnUp = (
+  job: JobView,
+  most: number,
+  placed: ReadonlyMap<ZoneName, number>,
+  floor: Floor,
+  reserve: Snapshot["reserve"],
+): number => {
+  const { request } = job
+  const zones = new Map(placed)
+  let left = most
+  for (const kind of floor.kinds) {
+    if (left <= 0) break
+    if (!allowed(request, kind)) continue
+    for (const slot of kind.slots) {
+      if (slot.reserved && job.rank < reserve.rank) continue
+      const take = Math.min(left, slotsIn(request, slot.free), zoneAllowance(request, zones, kind.zone))
+      if (take <= 0) continue
+      slot.free = minus(slot.free, request, take)
+      zones.set(kind.zone, (zones.get(kind.zone) ?? 0) + take)
+      left -= take
+    }
+  }
+  return most - left
+}
+
+/** A job held back by its team's limit gives back a machine on which the limit lets nothing run. */
+const releaseIdle = (held: ReadonlyArray<Slot>, holders: Map<MachineId, JobId | null>): void => {
+  const idle = held.find(isIdle)
+  if (idle !== undefined) holders.set(idle.machine.id, null)
+}
+
 /**
  * A job without a deadline that has more than this part of its time to start
  * left lets others go before it on machines that have their image: where one
@@ -174,7 +242,7 @@
 /** How many more tasks the job's team may start. */
 const roomOf = (job: JobView, teams: Snapshot["teams"]): number => {
   const room = teams.get(job.request.owner)
-  return room === undefined ? 0 : slotsIn(job.request, { ...room, mem_gb: Number.POSITIVE_INFINITY })
+  return room === undefined ? 0 : tasksWithin(job, room)
 }
 
 /** Seconds left in which a queued task should start; null: too late for any aim, or none. */
@@ -292,15 +360,27 @@
   return -fetchS - 2 * leftover + 0.5 * mine + (machine.spot ? 2 : 0)
 }
 
-/** Slots to ask for beyond what runs and what is coming; takes what it counts on from `coming`. */
+/** What a job counts on beyond the machines that are up, in slots. */
+interface Provision {
+  /** On machines that are coming. */
+  readonly requested: number
+  /** On machines to ask for. */
+  readonly missing: number
+}
+
+/**
+ * Slots to ask for beyond what runs and what is coming; takes what it counts
+ * on from `coming`. Never more than `most`, which the team's limit allows.
+ */
 const wanted = (
   job: JobView,
   pending: number,
   running: number,
+  most: number,
   coming: ReadonlyArray<Kind>,
   snapshot: Snapshot,
-): number => {
-  const extra = (requestedResources: number): number =>
+): Provision => {
+  const needed = (requestedResources: number): number =>
     job.timeLeftS !== null
       ? extraResources({
           pendingTasks: pending,
@@ -311,6 +391,7 @@
           deploymentTime: snapshot.deploymentS,
         })
       : baseFleet(job, pending, running, requestedResources)
+  const extra = (requested: number): number => Math.min(needed(requested), most - requested)
   // Machines asked for on this job's behalf come first, then room that others left on theirs.
   let requested = 0
   const kinds = coming.filter((kind) => kind.slots.length > 0 && allowed(job.request, kind))
@@ -319,7 +400,7 @@
       for (const slot of kind.slots) {
         if ((slot.machine.holder === job.id) !== own) continue
         const missing = extra(requested)
-        if (missing === 0) return 0
+        if (missing === 0) return { requested, missing }
         const take = Math.min(missing, slotsIn(job.request, slot.free))
         slot.free = minus(slot.free, job.request, take)
         requested += take
@@ -327,7 +408,7 @@
       kind.slots = kind.slots.filter((s) => s.free.cores > EPSILON)
     }
   }
-  return extra(requested)
+  return { requested, missing: extra(requested) }
 }
 
 /**
@@ -405,7 +486,7 @@
 /**
  * Asks for the cheapest kind that fits: spot before steady, the zone with
  * fewer of our machines before others. What one rental can't hold is asked of
- * kinds about as cheap.
+ * kinds about as cheap. Returns for how many of the missing tasks it asked.
  */
 const hire = (
   job: JobView,
@@ -414,8 +495,8 @@
   snapshot: Snapshot,
   hires: Map<Hireable, { count: number; readonly holder: JobId }>,
   coming: Array<Kind>,
-): void => {
-  if (missing <= 0) return
+): number => {
+  if (missing <= 0) return 0
   const dearest = snapshot.dearestSteady * cheapestWork(job, missing, snapshot)
   const options: Array<{ readonly option: Hireable; readonly cost: number }> = []
   for (const option of snapshot.market) {
@@ -430,7 +511,7 @@
   const limit = (options[0]?.cost ?? 0) * ABOUT_AS_CHEAP
   let left = missing
   for (const { option, cost } of options) {
-    if (left <= 0 || cost > limit + EPSILON) return
+    if (left <= 0 || cost > limit + EPSILON) break
     if (option.asked) continue
     const asked = hires.get(option)
     const per = slotsIn(job.request, option.type)
@@ -443,6 +524,7 @@
     // What the last machine has to spare is there for the jobs that follow.
     if (spare > 0) leaveToOthers(job, option, minus(option.type, job.request, per - spare), coming)
   }
+  return missing - Math.max(0, left)
 }
 
 const leaveToOthers = (
--- /dev/null
+++ b/packages/planner/test/limits.test.ts
@@ -0,0 +1,131 @@
+import assert from "node:assert/strict"
+import { test } from "node:test"
+import type { JobId, JobRequest, MachineId, MachineType, TeamName, ZoneName } from "@sorreltally/wire"
+import type { Hireable, JobView, MachineView, Snapshot, TeamRoom } from "../src/model.ts"
+import { plan } from "../src/plan.ts"
+
+const type = {
+  name: "m",
+  cores: 16,
+  accelerators: 0,
+  mem_gb: 64,
+  pull_gb_per_s: 1,
+  startup_s: 40,
+  hourly: 4,
+  spot_price: 1,
+} as unknown as MachineType
+const machine = (id: string, more: Partial<MachineView> = {}): MachineView => ({
+  id: id as MachineId,
+  type,
+  zone: "a" as ZoneName,
+  spot: true,
+  free: type,
+  busyTasks: 0,
+  images: new Set(),
+  reserved: false,
+  state: "up",
+  holder: null,
+  ...more,
+})
+const job = (number: number, owner: string, more: Partial<JobView> = {}): JobView => ({
+  id: `run-${String(number).padStart(6, "0")}` as JobId,
+  request: {
+    cores: 4,
+    accelerators: 0,
+    mem_gb: 1,
+    pieces: 40,
+    owner,
+    lane: "bulk",
+    loaners: true,
+    image_gb: 1,
+    bundle: "img",
+  } as unknown as JobRequest,
+  rank: 1,
+  queued: 40,
+  running: 0,
+  zones: new Map(),
+  timeLeftS: 100,
+  ageS: 0,
+  executionS: 20,
+  startWithinS: null,
+  unbegun: true,
+  withinGuarantee: false,
+  mayStart: true,
+  ...more,
+})
+const spot: Hireable = { type, zone: "a" as ZoneName, spot: true, price: 1, asked: false, ours: 0 }
+const room = (cores: number): TeamRoom => ({ cores, accelerators: 0 })
+/** What each team may still use of its limit; of that, its share lets it start nothing yet. */
+const snapshot = (
+  jobs: ReadonlyArray<JobView>,
+  machines: ReadonlyArray<MachineView>,
+  limits: Readonly<Record<string, number>>,
+  shares: Readonly<Record<string, number>> = {},
+): Snapshot => ({
+  jobs,
+  machines,
+  reserve: { rank: 0, cores: 0, images: new Set() },
+  othersWait: false,
+  types: [type],
+  load: () => ({ cores: 0, ending: [] }),
+  teams: new Map(Object.keys(limits).map((team) => [team as TeamName, room(shares[team] ?? 0)])),
+  limits: new Map(Object.entries(limits).map(([team, cores]) => [team as TeamName, room(cores)])),
+  market: [spot],
+  rentalSize: 50,
+  deploymentS: 40,
+  dearestSteady: 6,
+})
+const rented = (of: Snapshot): number => plan(of).hires.reduce((sum, { count }) => sum + count, 0)
+
+test("all jobs of a team together rent no more than its limit leaves them", () => {
+  const jobs = [1, 2, 3, 4, 5, 6].map((n) => job(n, "red"))
+  // 64 cores are four machines, whichever of the six jobs they are rented for.
+  assert.equal(rented(snapshot(jobs, [], { red: 64 })), 4)
+  assert.equal(rented(snapshot([...jobs, job(7, "blue")], [], { red: 64, blue: 32 })), 6)
+  assert.equal(rented(snapshot(jobs, [], { red: 0 })), 0)
+})
+
+test("machines that are coming count towards the team's limit, whichever job they are rented for", () => {
+  const jobs = [1, 2, 3].map((n) => job(n, "red"))
+  const coming = ["i-1", "i-2", "i-3"].map((id) => machine(id, { state: "coming", holder: jobs[0]!.id }))
+  assert.equal(rented(snapshot(jobs, coming, { red: 64 })), 1)
+  assert.equal(rented(snapshot(jobs, [...coming, machine("i-4", { state: "coming" })], { red: 64 })), 0)
+})
+
+test("room on machines that are up is used before more are rented within a limit", () => {
+  const jobs = [1, 2, 3].map((n) => job(n, "red"))
+  // The part's share lets nothing start yet; once it does, these two take half of what the limit allows.
+  assert.equal(rented(snapshot(jobs, [machine("i-1"), machine("i-2")], { red: 64 })), 2)
+  // What starts at once counts as well.
+  const placed = plan(snapshot(jobs, [machine("i-1"), machine("i-2")], { red: 64 }, { red: 64 }))
+  assert.equal(placed.placements.length, 8)
+  assert.equal(
+    placed.hires.reduce((sum, { count }) => sum + count, 0),
+    2,
+  )
+})
+
+test("work that one job may start is told, and made room for, once", () => {
+  const { unplaced } = plan(snapshot([job(1, "red"), job(2, "red")], [], { red: 64 }, { red: 48 }))
+  assert.deepEqual(
+    unplaced.map(({ tasks, startable }) => [tasks, startable]),
+    [[16, 12]],
+  )
+})
+
+test("machines on which the limits let nothing run are idle, and no job holds them", () => {
+  const jobs = [job(1, "red"), job(2, "red")]
+  const machines = ["i-1", "i-2", "i-3"].map((id) => machine(id, { holder: jobs[1]!.id }))
+  const decided = plan(snapshot(jobs, machines, { red: 32 }))
+  assert.deepEqual([...decided.idle], ["i-3"])
+  assert.deepEqual([...decided.holders], [["i-3", null]])
+  assert.deepEqual([...plan(snapshot(jobs, machines, { red: 64 })).idle], [])
+  // Nor is a machine of use to a job that mayn't run there.
+  const elsewhere = job(1, "red", { request: { ...jobs[0]!.request, site: "b" as ZoneName } })
+  assert.deepEqual([...plan(snapshot([elsewhere], [machine("i-1")], { red: 64 })).idle], ["i-1"])
+})
+
+test("what the market can't give one job stays for the others of its team", () => {
+  const elsewhere = job(1, "red", { request: { ...job(1, "red").request, site: "b" as ZoneName } })
+  assert.equal(rented(snapshot([elsewhere, job(2, "red"), job(3, "red")], [], { red: 64 })), 4)
+})
