Shares: a lost reduction counts until it is settled, quota held in vain is left to others

- A reduction without an answer that was repeated and then refused (503) was taken for not carried out.
Its first copy may still come, and meanwhile the larger share was used (`quota`).
Now nothing but a moved record, or a part that has another owner, settles it.
- A part that goes first by its rank took quota back at once each time it had held it in vain for tasks that none of its machines fits (a zone without capacity, fragments, machines that are cut off): parts with room waited for ever.
After quota for a task was held unused for 6 s with nothing started, the part neither asks for nor takes quota of that team for 6 s.
- The last bit of a limit, up to half a core, was never taken, even if a task fits into it.

Machines are rented by the limit without what the other parts have, with one part's slack in all instead of one for each: with five parts each could rent for nearly the whole limit.

--- a/packages/controller/src/engine.ts
+++ b/packages/controller/src/engine.ts
@@ -645,7 +645,7 @@
         tasks,
         pressing: job.withinGuarantee ? pressing : 0,
       })),
-      quotas: quotaNeeds(this, jobs, teams, unused),
+      quotas: quotaNeeds(this, jobs, teams, unused).filter(({ team }) => !this.shares.yields(team)),
     })
   }
 
@@ -718,6 +718,7 @@
       let left = unused
       let rank = -1
       let since = Number.POSITIVE_INFINITY
+      let smallest: JobRequest | null = null
       for (const job of this.jobs.values()) {
         if (job.request.owner !== team || job.withdrawn || job.queued === 0) continue
         // Beyond what machines have room for, a share would only lie idle, and be asked back.
@@ -725,6 +726,7 @@
         left -= tasks * job.request.cores
         cpus += tasks * job.request.cores
         gpus += tasks * job.request.accelerators
+        if (smallest === null || job.request.cores < smallest.cores) smallest = job.request
         const of = urgencyRank[job.request.urgency]
         if (of > rank) since = job.submitted
         else if (of === rank) since = Math.min(since, job.submitted)
@@ -736,6 +738,7 @@
       return {
         used: { cpus: u.cores, gpus: u.accelerators },
         wanted: { cpus, gpus },
+        smallestTask: smallest === null ? null : { cpus: smallest.cores, gpus: smallest.accelerators },
         asked: asking.length === 0 ? "no" : first ? "first" : "after",
       }
     })
@@ -768,6 +771,7 @@
       job.place(placement)
       session.hold(placement)
       this.commits.place(placement)
+      this.shares.started(job.request.owner)
     }
     for (const [machine, holder] of decided.holders) {
       const tenancy = this.tenancies.get(machine)
--- a/packages/controller/src/shares.ts
+++ b/packages/controller/src/shares.ts
@@ -1,7 +1,16 @@
 import type { Mirror } from "@sorreltally/membership"
+import { EPSILON } from "@sorreltally/planner"
 import type { Team } from "@sorreltally/settings"
 import { keys, type QuotaRecord, type StateClient } from "@sorreltally/state"
-import { ABSENT, type Moment, type PartName, type Stamp, type TeamName } from "@sorreltally/wire"
+import {
+  ABSENT,
+  later,
+  type Moment,
+  NEVER,
+  type PartName,
+  type Stamp,
+  type TeamName,
+} from "@sorreltally/wire"
 import { Effect, Result } from "effect"
 
 interface Amount {
@@ -12,6 +21,8 @@
   readonly used: Amount
   /** What is used plus what is queued. */
   readonly wanted: Amount
+  /** What the smallest queued task takes; null when none is queued. */
+  readonly smallestTask: Amount | null
   /** Does another part lack quota, and does its work go before ours? */
   readonly asked: "no" | "after" | "first"
 }
@@ -21,11 +32,21 @@
   gpus: Math.min(a.gpus, b.gpus),
 })
 
+const minus = (a: Amount, b: Amount): Amount => ({ cpus: a.cpus - b.cpus, gpus: a.gpus - b.gpus })
+/** Does this much quota let a task start? */
+const holds = (quota: Amount, task: Amount): boolean =>
+  task.cpus <= quota.cpus + EPSILON && task.gpus <= quota.gpus + EPSILON
+
+/** Cores and accelerators: a smaller gain isn't written for itself. */
+const WORTH_A_WRITE = 0.5
 /** A part keeps this much of a team's limit beyond its need, so that shares don't change with every task. */
 const SLACK = 1 / 8
 const KEEP_MS = 10_000
 /** Quota that others lack is held this long for tasks that find no machine. */
 const UNUSED_MS = 6_000
+/** A part that held quota in vain leaves it to the others for this long. */
+const YIELD_MS = 6_000
+const RETRY_MS = 300
 
 /**
  * A part's share of each team's limit. The shares of all parts never exceed
@@ -38,6 +59,8 @@
   private readonly busy = new Set<TeamName>()
   private readonly idleSince = new Map<TeamName, Moment>()
   private readonly surplusSince = new Map<TeamName, Moment>()
+  private readonly lastStart = new Map<TeamName, Moment>()
+  private readonly yieldsUntil = new Map<TeamName, Moment>()
 
   constructor(
     private readonly part: PartName,
@@ -58,17 +81,30 @@
   /**
    * What the team's limit leaves us beyond what we use: machines are rented by
    * this, before a share covers them. The others are taken to use theirs but
-   * for what is kept for changes.
+   * for what one part keeps for changes: a part without any share has to rent
+   * its first machines, as it asks for quota only when machines have room.
    */
   beyond(team: Team, used: Amount): Amount {
     const shares = this.mirror.get<QuotaRecord>(keys.quota(team.name))?.v.shares ?? {}
-    let { cpus_max: cpus, gpus_max: gpus } = team
-    for (const [part, share] of Object.entries(shares)) {
-      if (part === this.part) continue
-      cpus -= Math.max(0, share.cpus - team.cpus_max * SLACK)
-      gpus -= Math.max(0, share.gpus - team.gpus_max * SLACK)
+    let others = NONE
+    for (const [part, share] of Object.entries(shares))
+      if (part !== this.part) others = { cpus: others.cpus + share.cpus, gpus: others.gpus + share.gpus }
+    // Guards against renting for nearly the whole limit in each part, as counting every part's slack would.
+    const left = (limit: number, theirs: number, ours: number) =>
+      Math.max(0, limit - Math.max(0, theirs - limit * SLACK) - ours)
+    return {
+      cpus: left(team.cpus_max, others.cpus, used.cpus),
+      gpus: left(team.gpus_max, others.gpus, used.gpus),
     }
-    return { cpus: Math.max(0, cpus - used.cpus), gpus: Math.max(0, gpus - used.gpus) }
+  }
+
+  /** A task of the team was placed: this part uses its share. */
+  started(team: TeamName): void {
+    this.lastStart.set(team, this.now())
+  }
+  /** Does this part leave the team's quota to others for now? */
+  yields(team: TeamName): boolean {
+    return this.now() < (this.yieldsUntil.get(team) ?? NEVER)
   }
 
   /** Works out by how much each share should change. */
@@ -76,7 +112,8 @@
     const changes: Array<Effect.Effect<void>> = []
     for (const team of this.teams) {
       if (this.busy.has(team.name)) continue
-      const { used, wanted, asked } = need(team.name)
+      const { used, smallestTask, asked, ...rest } = need(team.name)
+      const wanted = this.yields(team.name) ? used : rest.wanted
       const share = this.share(team.name)
       const shares = this.mirror.get<QuotaRecord>(keys.quota(team.name))?.v.shares ?? {}
       let free: Amount = { cpus: team.cpus_max, gpus: team.gpus_max }
@@ -89,6 +126,11 @@
         this.idleSince.set(team.name, since)
         if (asked === "first" || this.now() - since > UNUSED_MS) {
           this.idleSince.delete(team.name)
+          // Guards against a part that goes first by its rank and takes the quota back again and
+          // again for tasks that none of its machines fits, while others wait for ever.
+          const startedNothing = (this.lastStart.get(team.name) ?? NEVER) < since
+          if (startedNothing && smallestTask !== null && holds(minus(share, used), smallestTask))
+            this.yieldsUntil.set(team.name, later(this.now(), YIELD_MS))
           changes.push(this.write(team.name, least(share, used), share))
           continue
         }
@@ -106,8 +148,13 @@
         cpus: share.cpus + Math.max(0, Math.min(free.cpus, target.cpus - share.cpus)),
         gpus: share.gpus + Math.max(0, Math.min(free.gpus, target.gpus - share.gpus)),
       }
-      // A sliver of the limit isn't worth a transaction; the last bit of need is.
-      const worth = grown.cpus - share.cpus + (grown.gpus - share.gpus) > 0.5
+      // A sliver of the limit isn't worth a transaction, unless it is what lets a task start.
+      const gained = grown.cpus - share.cpus + (grown.gpus - share.gpus) > WORTH_A_WRITE
+      const startsOne =
+        smallestTask !== null &&
+        holds(minus(grown, used), smallestTask) &&
+        !holds(minus(share, used), smallestTask)
+      const worth = gained || startsOne
       if (short && worth) {
         this.surplusSince.delete(team.name)
         changes.push(this.write(team.name, grown, share))
@@ -127,43 +174,52 @@
     return changes
   }
 
+  /** Changes our share of a team's limit; only the smaller of the two counts until it is known which holds. */
   private write(team: TeamName, next: Amount, current: Amount): Effect.Effect<void> {
+    this.busy.add(team)
+    this.ceiling.set(team, least(next, current))
+    return this.settle(team, next).pipe(
+      Effect.ensuring(
+        Effect.sync(() => {
+          this.ceiling.delete(team)
+          this.busy.delete(team)
+          this.changed()
+        }),
+      ),
+    )
+  }
+
+  /** Returns once the change is in the mirror, or surely never will be carried out. */
+  private settle(team: TeamName, next: Amount) {
     const path = keys.quota(team)
-    return Effect.suspend(() => {
-      this.busy.add(team)
-      this.ceiling.set(team, least(next, current))
-      const stored = this.mirror.get<QuotaRecord>(path)
-      const record: QuotaRecord = { shares: { ...(stored?.v.shares ?? {}), [this.part]: next } }
-      const when = [
-        { path, stamp: this.mirror.stamp(path) },
-        { path: keys.part(this.part), stamp: this.epoch },
-      ]
-      return Effect.gen({ self: this }, function* () {
-        for (;;) {
-          // At once: without quota nothing can be rented or started, and these are few.
-          const done = yield* Effect.result(this.state.multi(when, [{ set: path, v: record }], 1))
-          if (Result.isSuccess(done) && done.success.ok) {
-            this.mirror.hint({ path, v: record, stamp: done.success.epoch })
-            break
-          }
-          const unknown = Result.isFailure(done) && done.failure.outcome === "unknown"
-          const read = yield* Effect.result(this.state.get(path))
-          if (Result.isSuccess(read) && read.success !== null) this.mirror.hint(read.success)
-          // A lost change may still come while the record is as it was: until
-          // the record has moved, only the smaller share is ours.
-          const moved = Result.isSuccess(read) && (read.success?.stamp ?? ABSENT) !== when[0]!.stamp
-          yield* Effect.sleep(300)
-          if (!unknown || moved) break
+    const part = keys.part(this.part)
+    const stored = this.mirror.get<QuotaRecord>(path)
+    const before = this.mirror.stamp(path)
+    const record: QuotaRecord = { shares: { ...(stored?.v.shares ?? {}), [this.part]: next } }
+    const when = [
+      { path, stamp: before },
+      { path: part, stamp: this.epoch },
+    ]
+    return Effect.gen({ self: this }, function* () {
+      let unanswered = false
+      for (;;) {
+        // At once: without quota nothing can be rented or started, and these are few.
+        const done = yield* Effect.result(this.state.multi(when, [{ set: path, v: record }], 1))
+        if (Result.isSuccess(done) && done.success.ok) {
+          this.mirror.hint({ path, v: record, stamp: done.success.epoch })
+          return
         }
-        this.ceiling.delete(team)
-      }).pipe(
-        Effect.ensuring(
-          Effect.sync(() => {
-            this.busy.delete(team)
-            this.changed()
-          }),
-        ),
-      )
+        // Another part's owner has our part: its epoch fences all that we sent.
+        if (Result.isSuccess(done) && !done.success.ok && done.success.failed.includes(part)) return
+        // Guards against a change that got no answer and is carried out after a later attempt was refused.
+        unanswered ||= Result.isFailure(done) && done.failure.outcome === "unknown"
+        const read = yield* Effect.result(this.state.get(path))
+        if (Result.isSuccess(read) && read.success !== null) this.mirror.hint(read.success)
+        // While the record is as it was, the lost change may still come.
+        const moved = Result.isSuccess(read) && (read.success?.stamp ?? ABSENT) !== before
+        yield* Effect.sleep(RETRY_MS)
+        if (!unanswered || moved) return
+      }
     })
   }
 }
