--- a/packages/controller/src/engine.ts
+++ b/packages/controller/src/engine.ts
@@ -104,6 +104,8 @@
   private readonly held: HeldReports
   private roomChanges = 0
   private workWaits = false
+  /** Empty machines that the last plan found no use for. */
+  private idle: ReadonlySet<MachineId> = new Set()
   private lookedAt: Moment = NEVER
   private lately: { readonly at: Moment; readonly load: Load } | null = null
   private statusAt: Moment = NEVER
@@ -134,6 +136,7 @@
       lend: (session, to, needs) => this.lendMachine(session, to, needs),
       steadyWanted: () => this.ctx.time.moment() < later(this.steadyWantedAt, STEADY_LINGERS_MS),
       reserve: () => this.reserve(),
+      isIdle: (id) => this.idle.has(id),
     })
   }
 
@@ -628,6 +631,7 @@
     })
     this.carryOut(decided, now)
     this.workWaits = decided.unplaced.length > 0
+    this.idle = decided.idle
     if (decided.steadyWanted) {
       this.steadyWantedAt = now
       for (const tenancy of this.tenancies.values()) tenancy.closing = false
@@ -641,7 +645,7 @@
         tasks,
         pressing: job.withinGuarantee ? pressing : 0,
       })),
-      quotas: quotaNeeds(this, jobs, teams, unused),
+      quotas: quotaNeeds(this, jobs, teams, unused).filter(({ team }) => !this.shares.yields(team)),
     })
   }
 
@@ -714,6 +718,7 @@
       let left = unused
       let rank = -1
       let since = Number.POSITIVE_INFINITY
+      let smallest: JobRequest | null = null
       for (const job of this.jobs.values()) {
         if (job.request.owner !== team || job.withdrawn || job.queued === 0) continue
         // Beyond what machines have room for, a share would only lie idle, and be asked back.
@@ -721,6 +726,7 @@
         left -= tasks * job.request.cores
         cpus += tasks * job.request.cores
         gpus += tasks * job.request.accelerators
+        if (smallest === null || job.request.cores < smallest.cores) smallest = job.request
         const of = urgencyRank[job.request.urgency]
         if (of > rank) since = job.submitted
         else if (of === rank) since = Math.min(since, job.submitted)
@@ -732,6 +738,7 @@
       return {
         used: { cpus: u.cores, gpus: u.accelerators },
         wanted: { cpus, gpus },
+        smallestTask: smallest === null ? null : { cpus: smallest.cores, gpus: smallest.accelerators },
         asked: asking.length === 0 ? "no" : first ? "first" : "after",
       }
     })
@@ -764,6 +771,7 @@
       job.place(placement)
       session.hold(placement)
       this.commits.place(placement)
+      this.shares.started(job.request.owner)
     }
     for (const [machine, holder] of decided.holders) {
       const tenancy = this.tenancies.get(machine)
