Stand-in: late reports and commands, machines that send or receive nothing, fast boots; no work for machines that don't report

Cause: the answer to a direct command counted as a sign that a worker hears us, and made its machine usable for two and a half report intervals. A worker that reaches no controller answers commands all the same and loses all its tasks at its lease: work given to it is wasted. A machine is given work only if it reported lately.

--- a/packages/testkit/src/cloud.ts
+++ b/packages/testkit/src/cloud.ts
@@ -13,6 +13,8 @@
   readonly times: WorkerTimes
   /** Share of machines that never come up. */
   neverBoots: number
+  /** Machines are up within this time; null: as their type says. */
+  bootWithinMs: number | null
 }
 
 /** A stand-in of the cloud: rents, boots, lists with a lag, takes back. */
@@ -118,7 +120,10 @@
     )
     this.machines.set(id, machine)
     if (!this.sim.luck.chance(neverBoots)) {
-      this.sim.after(type.startup_s * 1000 * this.sim.luck.between(0.6, 1.5), () => machine.boot())
+      const usualMs = type.startup_s * 1000 * this.sim.luck.between(0.6, 1.5)
+      const { bootWithinMs } = this.settings
+      const bootMs = bootWithinMs === null ? usualMs : this.sim.luck.between(0, bootWithinMs)
+      this.sim.after(bootMs, () => machine.boot())
     }
     return machine
   }
--- a/packages/testkit/src/machines.ts
+++ b/packages/testkit/src/machines.ts
@@ -14,12 +14,19 @@
   since: number
   callOff: () => void
 }
+/** A task that takes room on a machine. */
+export interface Occupant {
+  readonly job: string
+  readonly index: number
+}
 export interface WorkerTimes {
   readonly report_s: number
   readonly lease_s: number
 }
 
 const SHOWN_RUNNING_MS = 30_000
+/** Whoever sent a request to a worker has given up by then. */
+const GIVEN_UP_MS = 3_000
 
 /** A stand-in of one machine and its worker. */
 export class Machine {
@@ -67,6 +74,7 @@
     this.status = "running"
     this.lastAnswered = this.sim.now
     this.net.listen(this.id, (request, _from, answer) => {
+      const came = this.sim.now
       this.whenAwake(() => {
         if (request.path === "/inspect") return answer({ status: 200, body: this.body() })
         const { baton, tenure, orders } = request.body as {
@@ -75,7 +83,15 @@
           orders: Array<Order>
         }
         if (baton === undefined || tenure === undefined) return answer({ status: 400, body: {} })
-        if (baton < this.baton || tenure !== this.tenure) return answer({ status: 409, body: this.body() })
+        if (baton < this.baton || tenure !== this.tenure) {
+          this.sim.occurrences.count(
+            baton < this.baton
+              ? "commands of a deposed leader refused"
+              : "commands of an earlier session refused",
+          )
+          return answer({ status: 409, body: this.body() })
+        }
+        if (this.sim.now - came > GIVEN_UP_MS) this.sim.occurrences.count("commands carried out on resuming")
         this.hear(baton)
         this.execute(orders)
         answer({ status: 200, body: this.body() })
@@ -109,6 +125,23 @@
     this.hung = false
     this.sim.after(afterMs, () => this.boot())
   }
+  get isHung(): boolean {
+    return this.hung
+  }
+  /** Tasks that run or save. */
+  get runningTasks(): number {
+    let count = 0
+    for (const { status } of this.tasks.values()) if (status === "running" || status === "flushing") count++
+    return count
+  }
+  /** Tasks that take room here, fetching ones included. */
+  *occupants(): Iterable<Occupant> {
+    for (const { job, index, status } of this.tasks.values()) if (status !== "exited") yield { job, index }
+  }
+  /** The highest attempt of a task that this machine knows. */
+  attemptOf(piece: string): number {
+    return this.tasks.get(piece)?.attempt ?? 0
+  }
   private whenAwake(run: () => void): void {
     if (this.gone) return
     if (this.hung) this.missed.push(() => this.whenAwake(run))
@@ -131,6 +164,8 @@
   }
   private drop(task: Task): void {
     task.callOff()
+    if (task.status === "running" && this.rules.submitted.get(task.job)?.site != null)
+      this.sim.occurrences.count("tasks of jobs bound to a zone lost")
     if (task.status === "running" || task.status === "flushing")
       this.rules.ended(task.job, task.index, this.id)
     task.status = "gone"
@@ -144,6 +179,7 @@
   }
   private expire(): void {
     if (this.sim.now - this.lastAnswered <= this.times.lease_s * 1000) return
+    this.sim.occurrences.count("tasks lost by their lease", this.runningTasks)
     for (const task of this.tasks.values()) this.drop(task)
     this.tasks.clear()
     this.tenure++
--- a/packages/testkit/src/net.ts
+++ b/packages/testkit/src/net.ts
@@ -13,6 +13,18 @@
 export type Server = (request: Request, from: string, answer: (answer: Answer) => void) => void
 
 export type CutMode = "hold" | "drop" | "reset"
+/** A request that is about to set out. */
+export interface Departure {
+  readonly from: string
+  readonly to: string
+  readonly request: Request
+  /** Delivers a copy at a later time, past all cuts; its answer reaches `answered` alone. */
+  readonly deliverCopy: (to: string, afterMs: number, answered?: (answer: Answer) => void) => void
+}
+/** `withhold`: it never arrives by itself, and its sender hears nothing; `refuse`: no connection. */
+export type Verdict = "pass" | "withhold" | "refuse"
+export type Interceptor = (departure: Departure) => Verdict
+
 interface Cut {
   readonly oneWay: boolean
   readonly apart: (a: string, b: string) => boolean
@@ -28,6 +40,7 @@
 export class Net {
   private readonly servers = new Map<string, Server>()
   private readonly cuts = new Set<Cut>()
+  private readonly interceptors = new Set<Interceptor>()
   loss = 0
   repeat = 0
   /** Copies come at most this much later. */
@@ -57,6 +70,25 @@
     }
   }
 
+  /** Looks at every request before it sets out; returns how to end this. */
+  intercept(interceptor: Interceptor): () => void {
+    this.interceptors.add(interceptor)
+    return () => this.interceptors.delete(interceptor)
+  }
+  private verdict(from: string, to: string, request: Request, text: string): Verdict {
+    const deliverCopy: Departure["deliverCopy"] = (host, afterMs, answered = () => {}) => {
+      this.sim.after(afterMs, () =>
+        this.servers.get(host)?.({ ...request, body: JSON.parse(text) }, from, answered),
+      )
+    }
+    let verdict: Verdict = "pass"
+    for (const interceptor of this.interceptors) {
+      const said = interceptor({ from, to, request, deliverCopy })
+      if (said !== "pass") verdict = said
+    }
+    return verdict
+  }
+
   /** One message one way; `lost` is called when its sender can tell. */
   carry(from: string, to: string, deliver: () => void, lost: () => void = () => {}): void {
     for (const cut of this.cuts) {
@@ -74,6 +106,9 @@
   /** `done(null)`: refused or reset. No call of `done` at all: silence. */
   request(from: string, to: string, request: Request, done: (answer: Answer | null) => void): void {
     const text = JSON.stringify(request.body ?? null)
+    const verdict = this.verdict(from, to, request, text)
+    if (verdict === "refuse") this.sim.after(1, () => done(null))
+    if (verdict !== "pass") return
     let first = true
     this.carry(
       from,
--- a/packages/testkit/src/once.ts
+++ b/packages/testkit/src/once.ts
@@ -14,5 +14,8 @@
       process.stdout.write(`${id} ${state} ${world.stored(id)}\n`)
   }
 }
+if (process.env.VERBOSE !== undefined)
+  for (const [what, count] of Object.entries(world.sim.occurrences.all()))
+    process.stdout.write(`${count} ${what}\n`)
 process.stdout.write(`${failures.join("\n")}\n`)
 process.exit(failures.length === 0 ? 0 : 1)
--- a/packages/testkit/src/rules.ts
+++ b/packages/testkit/src/rules.ts
@@ -22,6 +22,7 @@
   /** CPUs by team. */
   private readonly used = new Map<string, number>()
   starts = 0
+  private readonly startsByJob = new Map<string, number>()
   /** Starts of jobs whose user had been told before that they are cancelled. */
   startsAfterCancellation = 0
   /** No trouble is under way after this. */
@@ -50,6 +51,7 @@
   /** The task has its image and runs from now on. */
   began(job: string, index: number, at: OnMachine): void {
     this.starts++
+    this.startsByJob.set(job, this.startsOf(job) + 1)
     if (!this.begunAt.has(job)) this.begunAt.set(job, this.sim.now)
     const request = this.submitted.get(job)!
     const task = `${job}/${index}`
@@ -93,6 +95,22 @@
     if (before || !this.users.isComplete(job)) return
     for (const told of this.onComplete) told(job)
   }
+  /** Tasks of a job that ever began, repetitions included. */
+  startsOf(job: string): number {
+    return this.startsByJob.get(job) ?? 0
+  }
+  /** Accepted, and neither over nor asked to be cancelled. */
+  isLive(job: string): boolean {
+    const { users } = this
+    return users.isAccepted(job) && users.finalState(job) === null && !users.askedToCancel.has(job)
+  }
+  limitOf(team: string): number {
+    return this.teams.find(({ name }) => name === team)?.cpus_max ?? 0
+  }
+  /** A rule that is checked elsewhere was broken. */
+  report(rule: string, what: string): void {
+    this.say(rule, what)
+  }
   isFinished(job: string, index: number): boolean {
     return this.users.isFinished(job, index)
   }
--- a/packages/testkit/src/sim.ts
+++ b/packages/testkit/src/sim.ts
@@ -1,5 +1,6 @@
 import { Clock, Duration, Effect, Scheduler } from "effect"
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus"
+import { Occurrences } from "./occurrences.ts"
 
 interface Timer {
   readonly at: number
@@ -38,6 +39,7 @@
   private readonly timers: Array<Timer> = []
   private ready: Array<() => void> = []
   readonly luck: Luck
+  readonly occurrences = new Occurrences()
 
   constructor(seed: number) {
     this.luck = new Luck(seed)
--- a/packages/testkit/src/state.ts
+++ b/packages/testkit/src/state.ts
@@ -38,6 +38,8 @@
   readonly faults: StateFaults
   /** Requests and changes asked for, and those turned away for being too many. */
   readonly count = { requests: 0, changes: 0, refused: 0 }
+  /** Called at every change, with the key's new value or null. */
+  readonly listeners: Array<(path: string, value: unknown) => void> = []
   private readonly requests: Bucket
   private readonly changes: Bucket
 
@@ -187,6 +189,7 @@
     else this.keys.set(path, entry)
     this.news.push({ epoch: this.epoch, path, entry })
     if (this.news.length > KEPT_NEWS) this.news.shift()
+    for (const listener of this.listeners) listener(path, entry?.v ?? null)
   }
 
   private watch(url: URL, from: string, answer: (a: { status: number; body: unknown }) => void): void {
--- a/packages/testkit/src/trouble-actions.ts
+++ b/packages/testkit/src/trouble-actions.ts
@@ -14,7 +14,25 @@
   "cut-peers": (world, args) => world.troubles.cutPeers(node(args), number(args, 1, 20) * 1000),
   "cut-orders": (world, args) => world.troubles.cutOrders(number(args, 0, 20) * 1000),
   isolate: (world, args) => world.troubles.isolate(node(args), number(args, 1, 20) * 1000),
-  deafen: (world, args) => world.troubles.deafen(number(args, 0, 1), number(args, 1, 20) * 1000),
+  "machines-receive-nothing": (world, args) =>
+    world.troubles.machinesReceiveNothing(number(args, 0, 1), number(args, 1, 20) * 1000),
+  "machines-send-nothing": (world, args) =>
+    world.troubles.machinesSendNothing(
+      number(args, 0, 1),
+      number(args, 1, 20) * 1000,
+      (args[2] ?? "reset") as CutMode,
+    ),
+  /** Share, seconds, and `for-next` when the copies are kept for the next leader. */
+  "late-reports": (world, args) => {
+    const [share, forMs] = [number(args, 0, 0.2), number(args, 1, 20) * 1000]
+    if (args[2] === "for-next") world.troubles.keepReportsForNextLeader(share, forMs)
+    else world.troubles.lateReports(share, forMs)
+  },
+  "late-commands": (world, args) =>
+    world.troubles.lateCommands(number(args, 0, 0.2), number(args, 1, 20) * 1000),
+  /** For how many seconds new machines are up within how many. */
+  "fast-boots": (world, args) =>
+    world.troubles.fastBoots(number(args, 1, 2) * 1000, number(args, 0, 60) * 1000),
   reboot: (world, args) => world.troubles.reboot(number(args, 0, 1), number(args, 1, 0.3) * 1000),
   hang: (world, args) => world.troubles.hang(number(args, 0, 1), number(args, 1, 20) * 1000),
   "take-spot": (world, args) => world.troubles.takeSpot(number(args, 0, 1), number(args, 1, 0) * 1000),
--- a/packages/testkit/src/user-actions.ts
+++ b/packages/testkit/src/user-actions.ts
@@ -58,6 +58,7 @@
 
 /** How often something really happened, by its name. */
 const happened = (world: World): Readonly<Record<string, number>> => ({
+  ...world.sim.occurrences.all(),
   ...world.userTroubles.count,
   ...world.state.faults.count,
   startsAfterCancellation: world.rules.startsAfterCancellation,
--- /dev/null
+++ b/packages/testkit/src/waiting-rule.ts
@@ -0,0 +1,103 @@
+import type { JobRequest } from "@sorreltally/wire"
+import type { Cloud } from "./cloud.ts"
+import type { Machine } from "./machines.ts"
+import type { Rules } from "./rules.ts"
+import type { Sim } from "./sim.ts"
+
+/** Once all troubles are over, no job waits this long while it could run. */
+const LONGEST_WAIT_MS = 90_000
+
+interface Room {
+  readonly machine: Machine
+  cores: number
+  mem: number
+}
+interface Waiting {
+  /** Since when it could have started a task, and didn't. */
+  readonly since: number
+  readonly occupants: number
+}
+
+/**
+ * The rule that no job is left waiting while a machine that fits has room and
+ * its team is under its limit. Judged by what the stand-in itself knows:
+ * machines that are up and can be given work, and the tasks that are on them.
+ */
+export class WaitingRule {
+  private readonly waiting = new Map<string, Waiting>()
+
+  constructor(
+    private readonly sim: Sim,
+    private readonly rules: Rules,
+    private readonly cloud: Cloud,
+  ) {}
+
+  /** To be called now and then. */
+  look(): void {
+    const { now } = this.sim
+    if (now <= this.rules.quietFrom) return this.waiting.clear()
+    const rooms: Array<Room> = []
+    const zonesOf = new Map<string, Map<string, number>>()
+    const usedByTeam = new Map<string, number>()
+    for (const machine of this.cloud.machines.values()) {
+      if (machine.gone || machine.status !== "running") continue
+      const room = { machine, cores: machine.type.cores, mem: machine.type.mem_gb }
+      for (const { job } of machine.occupants()) {
+        const request = this.rules.submitted.get(job)
+        if (request === undefined) continue
+        room.cores -= request.cores
+        room.mem -= request.mem_gb
+        usedByTeam.set(request.owner, (usedByTeam.get(request.owner) ?? 0) + request.cores)
+        const zones = zonesOf.get(job) ?? new Map<string, number>()
+        zonesOf.set(job, zones.set(machine.zone, (zones.get(machine.zone) ?? 0) + 1))
+      }
+      if (!machine.isHung && machine.warningUntil === null) rooms.push(room)
+    }
+    for (const [job, request] of this.rules.submitted) {
+      const zones = zonesOf.get(job) ?? new Map<string, number>()
+      if (!this.couldStart(job, request, zones, rooms, usedByTeam.get(request.owner) ?? 0)) {
+        this.waiting.delete(job)
+        continue
+      }
+      const occupants = this.rules.startsOf(job)
+      const before = this.waiting.get(job)
+      if (before === undefined || before.occupants !== occupants) {
+        this.waiting.set(job, { since: now, occupants })
+      } else if (now > before.since + LONGEST_WAIT_MS) {
+        this.rules.report(
+          "left_waiting",
+          `${job}: a machine that fits had room for ${LONGEST_WAIT_MS / 1000} s`,
+        )
+        this.waiting.set(job, { since: now, occupants })
+      }
+    }
+  }
+
+  private couldStart(
+    job: string,
+    request: JobRequest,
+    zones: ReadonlyMap<string, number>,
+    rooms: ReadonlyArray<Room>,
+    used: number,
+  ): boolean {
+    if (!this.rules.isLive(job)) return false
+    let placed = 0
+    for (const count of zones.values()) placed += count
+    if (placed + this.rules.users.finishedCount(job) >= request.pieces) return false
+    if (used + request.cores > this.rules.limitOf(request.owner) + 1e-6) return false
+    return rooms.some((room) => fits(request, zones, room))
+  }
+}
+
+const fits = (
+  request: JobRequest,
+  zones: ReadonlyMap<string, number>,
+  { machine, cores, mem }: Room,
+): boolean => {
+  if (cores < request.cores - 1e-6 || mem < request.mem_gb - 1e-6) return false
+  if (machine.spot && !request.loaners) return false
+  if (request.builds != null && !request.builds.some((build) => build === machine.type.name)) return false
+  if (request.site != null && request.site !== machine.zone) return false
+  if (request.together && [...zones.keys()].some((zone) => zone !== machine.zone)) return false
+  return !request.scatter || (zones.get(machine.zone) ?? 0) < Math.ceil(request.pieces / 2)
+}
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -20,6 +20,7 @@
 import { Troubles } from "./troubles.ts"
 import { UserTroubles } from "./user-troubles.ts"
 import { Users } from "./users.ts"
+import { WaitingRule } from "./waiting-rule.ts"
 
 export interface Setup {
   readonly seed: number
@@ -93,13 +94,16 @@
       nodes: this.names,
       times: WORKERS,
       neverBoots: setup.neverBoots,
+      bootWithinMs: null,
     })
     this.users = new Users(this.sim, this.net, this.rules.users, this.names)
     this.userTroubles = new UserTroubles(this.sim, this.users, this.rules)
     this.troubles = new Troubles(this)
     for (let i = 0; i < setup.nodes; i++) this.sim.after(i * 150, () => this.start(this.names[i]!))
+    const waiting = new WaitingRule(this.sim, this.rules, this.cloud)
     const look = () => {
       this.rules.look()
+      waiting.look()
       this.sim.after(500, look)
     }
     look()
@@ -209,6 +213,7 @@
             onExit: (exit) => {
               const outgoing = Exit.isSuccess(exit) ? exit.value : { status: 503, body: {} }
               const report = request.path === "/v1/report" && outgoing.status === 200
+              if (outgoing.status === 200) this.troubles.answered(name, request.path)
               send(report ? "answer" : null, () => answer(outgoing))
             },
           })
--- a/packages/testkit/test/faults.test.ts
+++ b/packages/testkit/test/faults.test.ts
@@ -51,7 +51,7 @@
       () => `(lose-messages 0.03 ${int(5, 30)})`,
       () => `(repeat-messages 0.05 ${int(5, 30)} ${luck.pick([5, 20, 70])})`,
       () => `(isolate ${node()} ${int(3, 50)})`,
-      () => `(deafen ${int(1, 4)} ${int(5, 60)})`,
+      () => `(machines-receive-nothing ${int(1, 4)} ${int(5, 60)})`,
       () => `(reboot ${int(1, 4)} ${luck.pick([0.1, 0.5, 5])})`,
       () => `(cut-zone ${luck.pick(["a", "b"])} ${int(10, 60)} ${mode()})`,
       () =>
--- a/packages/workers/src/session.ts
+++ b/packages/workers/src/session.ts
@@ -89,6 +89,8 @@
   lastHeard: Moment = NEVER
   private lastAnswered: Moment
   warningUntil: Moment | null = null
+  /** When a report came, not the answer to a command. */
+  private reportedAt: Moment = NEVER
   /** When a body came that is surely no late copy. */
   private provenAt: Moment = NEVER
   /**
@@ -203,6 +205,7 @@
     this.seenToken = body.baton
     this.address = body.address
     this.lastHeard = now
+    if (how === "report") this.reportedAt = now
     if (how === "direct" || this.confirmed || this.fresh) this.provenAt = now
     if (this.deafSince !== null && this.confirmed && this.raisedSinceDeaf) {
       this.deafSince = null
@@ -374,7 +377,11 @@
   }
   /** Heard recently enough, and surely hearing us, to be given work. */
   usable(now: Moment): boolean {
-    return this.tenure !== null && this.deafSince === null && now - this.provenAt < this.times.reportS * 2_500
+    const recently = later(now, -this.times.reportS * 2_500)
+    // A worker that reaches no controller still answers commands, and loses all at its lease:
+    // only its reports show that it can keep what it is given.
+    const reports = this.reportedAt > recently
+    return this.tenure !== null && this.deafSince === null && this.provenAt > recently && reports
   }
 
   /** Nothing is, or may come to be, on this machine whose owner we would have to be. */
@@ -398,6 +405,7 @@
     this.tick = by.tick
     this.lastHeard = later(now, -by.silentMs)
     this.provenAt = this.lastHeard
+    this.reportedAt = this.lastHeard
     for (const [image, gb] of by.images) this.keepImage(image, gb)
   }
 
--- a/scenarios/hears-nothing.sexp
+++ b/scenarios/hears-nothing.sexp
@@ -1,7 +1,7 @@
 (scenario "machines whose reports arrive but that hear nothing get no work, and are returned"
   (seed 31) (until 110) (capacity 4)
   (at 1 (submit pieces 12 cores 4 run 12 due 300 spot no))
-  (at 28 (deafen 6 200))
+  (at 28 (machines-receive-nothing 6 200))
   (at 30 (submit pieces 16 cores 4 run 8 due 200 spot no))
   (expect (all-over) (log-has "hears nothing"))
   (guard "packages/controller/src/rentals.ts" "if (session.deafSince !== null &&" "if (now < 0 &&"))
