Scenarios: the owner refused alone, cancellations elsewhere, then an outage for all

At four pairs of lease_s and cancel_s, with a job of the leader's part and one of a hash part: the state service refuses their owner alone, other controllers confirm the cancellations, peers reach the owner no more, and the service is then out for longer than cancel_s. Counted: reports that the owner answered meanwhile to machines with confirmed cancelled tasks. Guards: the check of entitlement; for lease 10 s and cancel_s 13 s the derived budget.

The stand-in learns times of workers per scenario, cancellations at a given node, leaders that end one after another, and cancellations as parts change hands, each with counts of what met.

--- a/packages/testkit/src/rules.ts
+++ b/packages/testkit/src/rules.ts
@@ -102,6 +102,15 @@
     return new Set(on.map(([, { machine }]) => machine))
   }
 
+  /** A task is on the machine whose user was told that its job is cancelled. */
+  hasCancelledTask(machine: string): boolean {
+    for (const [task, on] of this.places) {
+      const job = task.slice(0, task.indexOf("/"))
+      if (on.machine === machine && this.users.cancelledAt.has(job)) return true
+    }
+    return false
+  }
+
   /** Running jobs of which some task should run on for this long, by what is left; nobody cancelled them. */
   jobsWithLongToGo(leastS: number): ReadonlyArray<string> {
     const left = new Map<string, number>()
--- a/packages/testkit/src/scenario.ts
+++ b/packages/testkit/src/scenario.ts
@@ -1,6 +1,7 @@
 import type { JobId, JobRequest } from "@sorreltally/wire"
 import { type Form, parse } from "sexpr-plus"
 import { type Action, type Args, node, number } from "./actions.ts"
+import { membershipActions } from "./membership-actions.ts"
 import { troubleActions } from "./trouble-actions.ts"
 import { HARMLESS, userActions, userExpectations } from "./user-actions.ts"
 import { type Sending, type Setup, usualSetup, World } from "./world.ts"
@@ -58,6 +59,7 @@
 const actions: Record<string, Action> = {
   ...troubleActions,
   ...userActions,
+  ...membershipActions,
   submit: (world, args) =>
     world.users.submit(jobFrom(`run-${String(++jobCount).padStart(6, "0")}` as JobId, args)),
   /** Many jobs: how many, over how many seconds, then what each is like. */
@@ -192,6 +194,11 @@
         setup = { ...setup, [what]: Number(args[0]) }
       else if (what === "state-limits")
         setup = { ...setup, stateRps: Number(args[0]), stateWrites: Number(args[1]) }
+      else if (what === "workers")
+        setup = {
+          ...setup,
+          workers: { report_s: Number(args[0]), lease_s: Number(args[1]), cancel_s: Number(args[2]) },
+        }
       else if (what === "team-limit") setup = { ...setup, teamMax: Number(args[0]) }
       else if (what === "never-boots") setup = { ...setup, neverBoots: Number(args[0]) }
       else throw new Error(`line ${entry.location.start.line}: unknown entry ${what}`)
--- a/packages/testkit/src/state.ts
+++ b/packages/testkit/src/state.ts
@@ -36,6 +36,8 @@
   private down = false
   private readonly refused = new Set<string>()
   readonly faults: StateFaults
+  /** Told of every change; null: the key was deleted. */
+  readonly onChange: Array<(path: string, value: unknown) => void> = []
   /** Requests and changes asked for, and those turned away for being too many. */
   readonly count = { requests: 0, changes: 0, refused: 0 }
   private readonly requests: Bucket
@@ -80,6 +82,10 @@
   refuses(node: string): boolean {
     return this.refused.has(node)
   }
+  /** Out for everybody, or for this node alone. */
+  isOutFor(node: string): boolean {
+    return this.down || this.refuses(node)
+  }
   private renewAll(): void {
     for (const grant of this.grants.values()) grant.until = this.sim.now + grant.ttl
   }
@@ -89,7 +95,7 @@
     from: string,
     answer: (a: { status: number; body: unknown }) => void,
   ): void {
-    if (this.down || this.refuses(from)) {
+    if (this.isOutFor(from)) {
       if (request.path.startsWith("/watch")) return
       return answer({ status: 503, body: { error: "trouble" } })
     }
@@ -190,6 +196,7 @@
     else this.keys.set(path, entry)
     this.news.push({ epoch: this.epoch, path, entry })
     if (this.news.length > KEPT_NEWS) this.news.shift()
+    for (const told of this.onChange) told(path, entry?.v ?? null)
   }
 
   private watch(url: URL, from: string, answer: (a: { status: number; body: unknown }) => void): void {
@@ -209,7 +216,7 @@
     const look = (final: boolean) => {
       if (over) return
       // Open watches wait through an outage, and while their node alone is refused.
-      const blocked = this.down || this.refuses(from)
+      const blocked = this.isOutFor(from)
       const found = blocked ? [] : news()
       if (found.length === 0 && (!final || blocked)) {
         this.waiting.push(() => look(false))
--- a/packages/testkit/src/users.ts
+++ b/packages/testkit/src/users.ts
@@ -70,13 +70,14 @@
     this.sim.after(this.sim.luck.between(500, 5_000), again)
   }
   /** Repeated until it is answered. */
-  cancel(id: JobId, done: Answered = () => {}): void {
+  cancel(id: JobId, done: Answered = () => {}, at?: NodeName): void {
     this.rules.asksToCancel(id)
-    this.ask("cancel", id, {}, (status, state) => {
+    const answered: Answered = (status, state) => {
       if (status !== 200) return this.sim.after(RETRY_MS, () => this.cancel(id, done))
       if (state === "withdrawn") this.tell("cancelled", id)
       done(status, state)
-    })
+    }
+    this.ask("cancel", id, {}, answered, at)
   }
   /** A cancellation that comes too late: the user was told that the job is done. */
   cancelDone(id: JobId): void {
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -13,6 +13,7 @@
 } from "@sorreltally/wire"
 import { Effect, Exit, Random } from "effect"
 import { Cloud } from "./cloud.ts"
+import { MembershipTroubles } from "./membership-troubles.ts"
 import { type Answer, Net, type Request } from "./net.ts"
 import { Rules } from "./rules.ts"
 import { type Process, Sim } from "./sim.ts"
@@ -33,6 +34,8 @@
   readonly stateWrites: number
   /** That a controller may have open. */
   readonly sockets: number
+  /** How often workers report, after how long unanswered they end, and how soon cancelled tasks are gone. */
+  readonly workers: { readonly report_s: number; readonly lease_s: number; readonly cancel_s: number }
 }
 export const usualSetup: Setup = {
   seed: 1,
@@ -44,10 +47,9 @@
   stateRps: 200,
   stateWrites: 60,
   sockets: 2500,
+  workers: { report_s: 3, lease_s: 27, cancel_s: 47 },
 }
 
-const WORKERS = { report_s: 3, lease_s: 27, cancel_s: 47 }
-
 interface Life {
   readonly process: Process
   readonly hear: { receive: ((frame: Uint8Array) => void) | null }
@@ -67,6 +69,7 @@
   readonly troubles: Troubles
   readonly users: Users
   readonly userTroubles: UserTroubles
+  readonly membershipTroubles: MembershipTroubles
   readonly names: ReadonlyArray<NodeName>
   private readonly lives = new Map<NodeName, Life>()
   readonly logged: Array<string> = []
@@ -84,19 +87,20 @@
       machineType("small", 8, 32, 0.6, 0.12, 6, setup.zones),
       machineType("large", 32, 128, 3, 0.6, 12, setup.zones),
     ]
-    this.rules = new Rules(this.sim, this.platform(0).facts.teams, types, WORKERS.cancel_s)
+    this.rules = new Rules(this.sim, this.platform(0).facts.teams, types, setup.workers.cancel_s)
     this.state = new StateService(this.sim, this.net, this.platform(0).facts.state)
     this.cloud = new Cloud(this.sim, this.net, this.rules, {
       types,
       capacity: setup.capacity,
       lagMs: 3_000,
       nodes: this.names,
-      times: WORKERS,
+      times: setup.workers,
       neverBoots: setup.neverBoots,
     })
     this.users = new Users(this.sim, this.net, this.rules.users, this.names)
     this.userTroubles = new UserTroubles(this.sim, this.users, this.rules)
     this.troubles = new Troubles(this)
+    this.membershipTroubles = new MembershipTroubles(this)
     for (let i = 0; i < setup.nodes; i++) this.sim.after(i * 150, () => this.start(this.names[i]!))
     const look = () => {
       this.rules.look()
@@ -124,7 +128,7 @@
           { name: "blue", cpus: teamMax / 2, cpus_max: teamMax, gpus: 0, gpus_max: 0 },
         ],
         objectives: [{ kind: "wait", class: "bulk", within_s: 60, share: 0.9 }],
-        workers: WORKERS,
+        workers: this.setup.workers,
         state: { rps: stateRps, write_rps: stateWrites, value_kb: 4, txn_ops: 8 },
         cloud: { rps: 6, list_lag_s: 3 },
         machine_limits: { cores: 0.4, mem_mb: 300, fd_limit: sockets },
@@ -209,6 +213,7 @@
             onExit: (exit) => {
               const outgoing = Exit.isSuccess(exit) ? exit.value : { status: 503, body: {} }
               const report = request.path === "/v1/report" && outgoing.status === 200
+              if (report) this.membershipTroubles.answered(name, from)
               send(report ? "answer" : null, () => answer(outgoing))
             },
           })
