--- a/packages/testkit/src/membership-troubles.ts
+++ b/packages/testkit/src/membership-troubles.ts
@@ -38,7 +38,7 @@
   private readonly formerOwners = new Map<PartName, string | null>()
 
   constructor(private readonly world: World) {
-    world.state.onChange.push((path, value) => this.changed(path, value))
+    world.state.listeners.push((path, value) => this.changed(path, value))
     world.users.on.push((event, job) => {
       if (event === "cancelled") this.cancelled(job)
     })
