--- a/packages/testkit/src/state.ts
+++ b/packages/testkit/src/state.ts
@@ -82,6 +82,10 @@
   refuses(node: string): boolean {
     return this.refused.has(node)
   }
+  /** Out for everybody, or for this node alone. */
+  isOutFor(node: string): boolean {
+    return this.down || this.refuses(node)
+  }
   private renewAll(): void {
     for (const grant of this.grants.values()) grant.until = this.sim.now + grant.ttl
   }
@@ -91,7 +95,7 @@
     from: string,
     answer: (a: { status: number; body: unknown }) => void,
   ): void {
-    if (this.down || this.refuses(from)) {
+    if (this.isOutFor(from)) {
       if (request.path.startsWith("/watch")) return
       return answer({ status: 503, body: { error: "trouble" } })
     }
@@ -212,7 +216,7 @@
     const look = (final: boolean) => {
       if (over) return
       // Open watches wait through an outage, and while their node alone is refused.
-      const blocked = this.down || this.refuses(from)
+      const blocked = this.isOutFor(from)
       const found = blocked ? [] : news()
       if (found.length === 0 && (!final || blocked)) {
         this.waiting.push(() => look(false))
