A lease isn't renewed while a start of a cancelled task may still come

A start that went out by /orders and got no answer may be carried out as long as the worker's session and token stand. After a cancellation the owner raises the token; if the state service goes out first, it can't, yet it went on renewing the lease until its entitlement ended, seconds after the cancellation.

Scenario cancelled-start-held, with its guard.

--- a/packages/controller/src/engine.ts
+++ b/packages/controller/src/engine.ts
@@ -14,6 +14,7 @@
   slotsIn,
   type TeamRoom,
 } from "@sorreltally/planner"
+import { cancellationBudget } from "@sorreltally/settings"
 import { type Entry, type JobRecord, keys, type SlotRecord } from "@sorreltally/state"
 import {
   type Attempt,
@@ -112,6 +113,8 @@
   ready = false
   private over = false
   private deaf: Array<() => void> = []
+  /** After this long from a cancellation, a lease that is renewed may outlast `cancel_s`. */
+  private readonly renewableMs: number
 
   constructor(
     readonly part: PartName,
@@ -119,6 +122,8 @@
     readonly ctx: EngineContext,
   ) {
     const { state, membership, book, time, platform } = ctx
+    const budget = cancellationBudget(platform.facts.workers, ctx.operators.membership)
+    this.renewableMs = Math.max(0, budget.cancelMs - budget.worstCaseMs)
     const active = () => this.ready && this.active
     this.held = new HeldReports(time.moment, (session) => this.answer(session))
     this.shares = new Shares(part, epoch, platform.facts.teams, membership.mirror, state, time.moment, () =>
@@ -363,6 +368,10 @@
     // While its report was held, the machine may have gone, or our right to speak.
     if (!this.ready || !this.active || this.machines.get(session.id) !== session) return NOT_OURS
     const now = this.ctx.time.moment()
+    if (this.leaseMustEnd(session, now)) {
+      this.afterBody(session)
+      return NOT_OURS
+    }
     const orders = session.orders(now, (task) => this.finishIsDurable(task))
     session.answering(orders, now)
     this.toTell.delete(session)
@@ -370,6 +379,16 @@
     return { status: 200, body: { baton: session.token, orders } }
   }
 
+  /**
+   * A start of a cancelled task that is held up on its way may be carried out
+   * as long as the worker's session and token stand. If the token can't be
+   * raised, the lease must not be renewed beyond what `cancel_s` leaves.
+   */
+  private leaseMustEnd(session: WorkerSession, now: Moment): boolean {
+    const since = session.cancelledStartMayCome()
+    return since !== null && now > later(since, this.renewableMs)
+  }
+
   /** What `/inspect` answers is no late copy. */
   private inspect(session: WorkerSession, body: Report): void {
     if (this.inspecting.has(session.id)) return
--- a/packages/workers/src/session.ts
+++ b/packages/workers/src/session.ts
@@ -446,6 +446,22 @@
     return orders
   }
 
+  /**
+   * Since when a start of a cancelled task may still reach the worker: one that
+   * went out by `/orders`, without an answer, under a token that the worker still
+   * accepts. Null: no such start is under way.
+   */
+  cancelledStartMayCome(): Moment | null {
+    let since: Moment | null = null
+    for (const { job, stop, tenure, task, attempt } of this.placements.values()) {
+      if (!job.withdrawn || stop === null || tenure !== this.tenure) continue
+      const unanswered = this.loose === this.token || this.flying.has(`${task}#${attempt}`)
+      if (unanswered && this.pieces.get(task)?.try !== attempt)
+        since = since === null ? stop.since : (Math.min(since, stop.since) as Moment)
+    }
+    return since
+  }
+
   /** The answer to a report is about to be sent. */
   answering(orders: ReadonlyArray<Order>, now: Moment): void {
     this.lastAnswered = now
--- /dev/null
+++ b/scenarios/cancelled-start-held.sexp
@@ -0,0 +1,9 @@
+(scenario "ran_cancelled: starts held up on their way, their job cancelled, and an outage before a token could be raised"
+  (seed 223) (until 200) (workers 1 10 13)
+  (at 1 (submit pieces 8 cores 4 run 30))
+  (at 40 (late-commands 1 3))
+  (at 40.2 (submit pieces 8 cores 4 run 60))
+  (at 40.9 (cancel 1))
+  (at 43.4 (state-outage 65))
+  (expect (withdrawn 1) (happened "late commands carried out" 2) (happened startsAfterCancellation 2))
+  (guard "packages/controller/src/engine.ts" "return since !== null && now > later(since, this.renewableMs)" "return false"))
