--- a/packages/testkit/src/user-actions.ts
+++ b/packages/testkit/src/user-actions.ts
@@ -67,6 +67,7 @@
   ...world.sim.occurrences.all(),
   ...world.userTroubles.count,
   ...world.state.faults.count,
+  ...world.membershipTroubles.count,
   startsAfterCancellation: world.rules.startsAfterCancellation,
 })
 
