A move whose answer was lost isn't repeated once the machine has come back

The machine went away with its task, which was started on another one.

An edit of a machine now belongs to the token that the machine had when it was decided, since every move and fence raises it; one that was overtaken is given up, and no longer stands in the way of what is decided next. Deletions hold whatever happened. Ruled out: late copies, whose conditions had moved, and the planner, which saw a machine of its own with no move under way.

--- a/packages/controller/src/blocks.ts
+++ b/packages/controller/src/blocks.ts
@@ -15,6 +15,8 @@
 
 interface Queued {
   readonly edit: Edit
+  /** The machine's token when this was decided: every move and fence raises it. */
+  readonly token: Token | null
   /** False: the machine wasn't ours any more. */
   readonly settled: (done: boolean) => void
 }
@@ -64,12 +66,22 @@
   ) {}
 
   edit(id: MachineId, edit: Edit, settled: (done: boolean) => void = () => {}): void {
-    if (this.edits.has(id)) return
-    this.edits.set(id, { edit, settled })
+    if (this.isEditing(id)) return
+    this.edits.set(id, { edit, token: this.book.get(id)?.token ?? null, settled })
     this.signal.notify()
   }
   isEditing(id: MachineId): boolean {
-    return this.edits.has(id)
+    const queued = this.edits.get(id)
+    return queued !== undefined && !this.isOvertaken(id, queued)
+  }
+  /**
+   * Guards against a move that was carried out without an answer, and after
+   * which the machine came back: carried out once more, it would take the
+   * machine away with the tasks that it got meanwhile. What was deleted stays
+   * so, and is to be taken off the record whatever happened to it.
+   */
+  private isOvertaken(id: MachineId, { edit, token }: Queued): boolean {
+    return edit.kind !== "remove" && this.book.get(id)?.token !== token
   }
   add(machines: NewMachines, adopted: boolean, settled: () => void): void {
     const most = blockSize(this.state.limits.value_kb)
@@ -179,6 +191,11 @@
           queued.settled(queued.edit.kind === "remove")
           continue
         }
+        if (this.isOvertaken(id, queued)) {
+          this.edits.delete(id)
+          queued.settled(false)
+          continue
+        }
         let record = records.get(entry.block)
         if (record === undefined) {
           if (records.size >= touched.size) continue
@@ -206,7 +223,7 @@
       }
       const done = yield* Effect.result(this.state.multi(when, apply, "paid"))
       if (Result.isFailure(done) || !done.success.ok) return yield* this.catchUp()
-      for (const [id] of written) this.edits.delete(id)
+      for (const [id, queued] of written) if (this.edits.get(id) === queued) this.edits.delete(id)
       const stamp = done.success.epoch
       for (const change of apply) {
         if ("set" in change) mirror.hint({ path: change.set, v: change.v, stamp })
