--- a/packages/testkit/src/machines.ts
+++ b/packages/testkit/src/machines.ts
@@ -125,6 +125,9 @@
     this.hung = false
     this.sim.after(afterMs, () => this.boot())
   }
+  get lastTick(): number {
+    return this.tick
+  }
   get isHung(): boolean {
     return this.hung
   }
--- a/packages/testkit/src/occurrences.ts
+++ b/packages/testkit/src/occurrences.ts
@@ -10,6 +10,7 @@
   "late reports",
   "late reports of an earlier attempt",
   "late reports of an earlier session",
+  "late reports of a worker's former self",
   "late reports of machines that are gone",
   "machines up without a record at a take-over",
   "old reports at all controllers as a leader begins",
--- a/packages/testkit/src/troubles.ts
+++ b/packages/testkit/src/troubles.ts
@@ -123,8 +123,11 @@
     const copy = request.body as Report
     occurrences.count("late reports")
     if (machine === undefined) return occurrences.count("late reports of machines that are gone")
+    if (copy.tenure > machine.tenure || (copy.tenure === machine.tenure && copy.tick > machine.lastTick))
+      occurrences.count("late reports of a worker's former self")
     if (copy.tenure < machine.tenure) occurrences.count("late reports of an earlier session")
-    if (copy.pieces.some((piece) => piece.try < machine.attemptOf(piece.piece)))
+    const newest = (piece: string) => Math.max(...this.running().map((m) => m.attemptOf(piece)))
+    if (copy.pieces.some((piece) => piece.try < newest(piece.piece)))
       occurrences.count("late reports of an earlier attempt")
   }
   /** That share of direct commands is held up, unanswered, and carried out once, 2 to 16 s late. */
--- a/packages/workers/src/session.ts
+++ b/packages/workers/src/session.ts
@@ -179,6 +179,9 @@
       if (body.tenure < this.tenure) return null
       if (body.tenure === this.tenure && body.tick <= this.tick) return null
     }
+    // A worker keeps the highest token over all its sessions. One that began anew counts from the
+    // start: what its former self reported under an older token looks newer by the counters alone.
+    if (how === "report" && body.baton < this.seenToken) return null
     const outcomes: Array<Outcome> = []
     if (this.tenure === null || body.tenure > this.tenure) {
       // It lost a lease that we kept answering for: our answers didn't reach it.
@@ -195,18 +198,14 @@
       this.dropImages()
       this.answeredStarts.clear()
       this.pushed.clear()
-      // The tenure rose: the worker killed and forgot all it had, and starts
-      // under the former tenure are refused.
-      for (const placement of [...this.placements.values()]) {
-        if (placement.tenure < body.tenure) this.clear(placement, "lease ended", outcomes)
-      }
     }
     this.tick = body.tick
     this.seenToken = body.baton
     this.address = body.address
     this.lastHeard = now
     if (how === "report") this.reportedAt = now
-    if (how === "direct" || this.confirmed || this.fresh) this.provenAt = now
+    const proven = how === "direct" || this.confirmed || this.fresh
+    if (proven) this.provenAt = now
     if (this.deafSince !== null && this.confirmed && this.raisedSinceDeaf) {
       this.deafSince = null
       this.raisedSinceDeaf = false
@@ -221,6 +220,9 @@
 
     for (const placement of [...this.placements.values()]) {
       if (placement.tenure !== body.tenure) {
+        // The tenure rose: the worker killed and forgot all it had, and starts under the former
+        // tenure are refused. A late copy may tell of a tenure of the worker's former self.
+        if (placement.tenure < body.tenure && proven) this.clear(placement, "lease ended", outcomes)
         // Placed before the worker began anew, and nothing sent then can take effect any more.
         if (placement.tenure > body.tenure && this.confirmed && this.deafSince === null)
           this.clear(placement, "worker began anew", outcomes)
@@ -240,7 +242,7 @@
         if (piece.cause === "done") {
           this.release(placement)
           outcomes.push({ kind: "done", placement })
-        } else {
+        } else if (proven) {
           this.clear(placement, piece.cause ?? "exited", outcomes)
         }
       } else if (piece.status === "running" && placement.runningSince === null) {
--- /dev/null
+++ b/scenarios/late-reports-next-leader.sexp
@@ -0,0 +1,11 @@
+(scenario "old reports reach every controller just as a new leader begins, some of workers that began anew since"
+  (seed 71) (until 330) (capacity 5)
+  (at 1 (submit pieces 12 cores 4 run 60 due 280) (submit pieces 8 cores 4 run 50 due 280 urgency best_effort))
+  (at 8 (late-reports 0.6 48 for-next))
+  (at 14 (machines-send-nothing 5 31)) (at 30 (submit pieces 12 cores 4 run 10 due 40 urgency high)) (at 50 (cancel 1))
+  (at 56 (reboot 12 0.3)) (at 60 (submit pieces 16 cores 4 run 30 due 200))
+  (at 74 (crash host-0 0.2)) (at 90 (submit pieces 8 cores 4 run 10 due 60)) (at 92 (late-reports 0.6 48 for-next)) (at 100 (reboot 3 0.3)) (at 114 (crash host-1 3)) (at 114.2 (crash host-0 0.3))
+  (expect (all-over) (served) (happened "old reports at all controllers as a leader begins" 20)
+    (happened "late reports of a worker's former self" 5))
+  (guard "packages/workers/src/session.ts" "if (placement.tenure < body.tenure && proven)" "if (placement.tenure < body.tenure)")
+  (guard "packages/workers/src/session.ts" "return this.seenToken === this.token" "return this.seenToken > -1"))
