Limits free themselves: scenarios of the meetings, and work that waits too long begins across parts

Four scenarios about limits, each of which asserts that its troubles met and fails without its guards: a leader change with cancellations in that spell; cancelled jobs on machines cut off or hung while every team is at its limit; quota held for a zone without machines; more work than room over slow links. The stand-in counts leader changes at the limit, cancelled tasks out of reach and overloaded looks over slow links; it can slow links and give zones their own capacity.

What the scenarios found:

- Rentals of several parts are bounded by what the others say that they count on of a limit, not by their shares alone, so that slack isn't counted as use.
- A job's rentals were also cut by room on machines that are up where no limit binds; only the limit's room is now.

--- a/packages/controller/src/controller.ts
+++ b/packages/controller/src/controller.ts
@@ -2,7 +2,7 @@
 import type { JobState } from "@sorreltally/jobs"
 import { DEADLINE, Membership, type PartKeeper, partOf } from "@sorreltally/membership"
 import type { PeerChannel } from "@sorreltally/peers"
-import type { Need, QuotaNeed, Wants } from "@sorreltally/planner"
+import type { Need, QuotaNeed, TeamClaim, Wants } from "@sorreltally/planner"
 import { type Operators, type Platform, sizesOf } from "@sorreltally/settings"
 import { type Entry, type JobRecord, keys, type StateClient, type StateTrouble } from "@sorreltally/state"
 import {
@@ -45,7 +45,7 @@
 const WANTS_LAST_MS = 3_500
 /** Without the leader's list for this long, a node asks the cloud itself. */
 const LISTS_ITSELF_MS = 12_000
-const NO_WANTS: Wants = { needs: [], quotas: [] }
+const NO_WANTS: Wants = { needs: [], quotas: [], claims: [] }
 
 type Counts = readonly [JobId, number, number]
 type Final = "done" | "withdrawn"
@@ -203,19 +203,24 @@
     const oldest = later(this.time.moment(), -WANTS_LAST_MS)
     const needs: Array<Need> = []
     const quotas: Array<QuotaNeed> = []
+    const claims: Array<TeamClaim> = []
     for (const [part, { wants, at }] of this.wants) {
       if (part === except || at <= oldest) continue
       needs.push(...wants.needs)
       quotas.push(...wants.quotas)
+      claims.push(...wants.claims)
     }
-    return { needs, quotas }
+    return { needs, quotas, claims }
   }
   private publish(part: PartName, wants: Wants): void {
     const before = this.wants.get(part)?.wants ?? NO_WANTS
-    const changed = JSON.stringify(before) !== JSON.stringify(wants)
+    const lacks = ({ needs, quotas }: Wants) => JSON.stringify({ needs, quotas })
+    const lacksOther = lacks(before) !== lacks(wants)
+    const changed = lacksOther || JSON.stringify(before.claims) !== JSON.stringify(wants.claims)
     this.wants.set(part, { wants, at: this.time.moment() })
     if (!changed) return
     this.wantsChanged.notify()
+    if (!lacksOther) return
     for (const [other, { engine }] of this.engines) if (other !== part) engine.wake()
   }
   private tellWants() {
--- a/packages/controller/src/engine.ts
+++ b/packages/controller/src/engine.ts
@@ -1,7 +1,6 @@
 import { JobState, type Placement } from "@sorreltally/jobs"
 import { DEADLINE, partOf } from "@sorreltally/membership"
 import {
-  goesFirst,
   type Load,
   lend,
   type MachineView,
@@ -10,7 +9,6 @@
   plan,
   type QuotaNeed,
   type Reserve,
-  shapeOf,
   slotsIn,
   type TeamRoom,
 } from "@sorreltally/planner"
@@ -41,21 +39,15 @@
 import { BlockWriter } from "./blocks.ts"
 import { Commits } from "./commits.ts"
 import type { EngineContext, PartView, Tenancy } from "./context.ts"
+import { Draining } from "./draining.ts"
 import { HeldReports } from "./held.ts"
+import { machineNeeds } from "./machine-needs.ts"
 import { preempt } from "./preempt.ts"
+import { quotaNeeds, shareNeed, teamClaims, unusedCores } from "./quota-needs.ts"
 import { RENTAL_SIZE, Rentals } from "./rentals.ts"
 import { Shares } from "./shares.ts"
 import { Signal } from "./signal.ts"
-import {
-  jobViews,
-  loadOf,
-  machineViews,
-  quotaNeeds,
-  slotsInCores,
-  startTargets,
-  teamUse,
-  unusedCores,
-} from "./views.ts"
+import { jobViews, loadOf, machineViews, startTargets, teamUse } from "./views.ts"
 
 const PLAN_SPACING_MS = 120
 /** After a plan, everything else has the processor for this many times what the plan took. */
@@ -70,8 +62,6 @@
 /** While refused kinds of spot are asked again, steady machines stay as they were wanted before. */
 const STEADY_LINGERS_MS = 10_000
 const STATUS_EVERY_MS = 15_000
-/** Needs told to the other parts: the most urgent ones. */
-const NEEDS_TOLD = 4
 const ATTEMPTS_PER_EPOCH = 2 ** 20
 const NOTHING: TeamRoom = { cores: 0, accelerators: 0 }
 const NOT_OURS: Outgoing = { status: 503, body: {} }
@@ -97,6 +87,7 @@
   private mustWait = false
   private readonly gifts: Array<{ readonly to: PartName; readonly slots: number; readonly until: Moment }> =
     []
+  private readonly draining = new Draining()
   private readonly arrivals = new Arrivals()
   private reserveRank = Number.NEGATIVE_INFINITY
   private steadyWantedAt: Moment = NEVER
@@ -589,14 +580,14 @@
   private planOnce(look: boolean): void {
     const now = this.ctx.time.moment()
     const used = teamUse(this)
-    const { needs, quotas } = this.ctx.wants(this.part)
+    const { needs, quotas, claims } = this.ctx.wants(this.part)
     const unused = unusedCores(this, used)
     this.adjustShares(used, quotas, unused)
     const teams = new Map<TeamName, TeamRoom>()
     const limits = new Map<TeamName, TeamRoom>()
     for (const team of this.ctx.platform.facts.teams) {
       const u = used.get(team.name) ?? NOTHING
-      const { cpus, gpus } = this.shares.beyond(team, { cpus: u.cores, gpus: u.accelerators })
+      const { cpus, gpus } = this.shares.beyond(team, { cpus: u.cores, gpus: u.accelerators }, claims)
       limits.set(team.name, { cores: cpus, accelerators: gpus })
     }
     for (const [team, u] of used) {
@@ -615,6 +606,7 @@
       }
       machines = machineViews(this, now, reserve, false)
     }
+    if (this.hasMostMachines()) machines = this.draining.apply(machines, needs)
     const decided = plan({
       jobs,
       machines,
@@ -638,14 +630,9 @@
     }
     if (look) this.makeRoom(decided, needs, share, now)
     this.ctx.publish(this.part, {
-      needs: decided.unplaced.slice(0, NEEDS_TOLD).map(({ job, tasks, pressing }) => ({
-        part: this.part,
-        shape: shapeOf(job.request),
-        rank: job.rank,
-        tasks,
-        pressing: job.withinGuarantee ? pressing : 0,
-      })),
+      needs: machineNeeds(this.part, decided.unplaced),
       quotas: quotaNeeds(this, jobs, teams, unused).filter(({ team }) => !this.shares.yields(team)),
+      claims: teamClaims(this, used, decided.claims),
     })
   }
 
@@ -662,6 +649,12 @@
     preempt(this, decided, needs, share, this.given(now), views, now, (machine) => this.tell(machine))
   }
 
+  private hasMostMachines(): boolean {
+    const { book, membership } = this.ctx
+    const ours = this.machines.size
+    return ours > 1 && membership.parts.every((part) => book.size(part) <= ours)
+  }
+
   /** How much of the machines that could be lent to somebody is ours to lend. */
   private shareOfFleet(): number {
     const { book } = this.ctx
@@ -711,37 +704,9 @@
     quotas: ReadonlyArray<QuotaNeed>,
     unused: number,
   ): void {
-    const changes = this.shares.adjust((team) => {
-      const u = used.get(team) ?? NOTHING
-      let cpus = u.cores
-      let gpus = u.accelerators
-      let left = unused
-      let rank = -1
-      let since = Number.POSITIVE_INFINITY
-      let smallest: JobRequest | null = null
-      for (const job of this.jobs.values()) {
-        if (job.request.owner !== team || job.withdrawn || job.queued === 0) continue
-        // Beyond what machines have room for, a share would only lie idle, and be asked back.
-        const tasks = Math.min(job.queued, slotsInCores(job.request, left))
-        left -= tasks * job.request.cores
-        cpus += tasks * job.request.cores
-        gpus += tasks * job.request.accelerators
-        if (smallest === null || job.request.cores < smallest.cores) smallest = job.request
-        const of = urgencyRank[job.request.urgency]
-        if (of > rank) since = job.submitted
-        else if (of === rank) since = Math.min(since, job.submitted)
-        rank = Math.max(rank, of)
-      }
-      const own: QuotaNeed = { part: this.part, team, rank, since }
-      const asking = quotas.filter((q) => q.team === team)
-      const first = asking.some((q) => goesFirst(q, own))
-      return {
-        used: { cpus: u.cores, gpus: u.accelerators },
-        wanted: { cpus, gpus },
-        smallestTask: smallest === null ? null : { cpus: smallest.cores, gpus: smallest.accelerators },
-        asked: asking.length === 0 ? "no" : first ? "first" : "after",
-      }
-    })
+    const changes = this.shares.adjust((team) =>
+      shareNeed(this, team, used.get(team) ?? NOTHING, quotas, unused),
+    )
     for (const change of changes) this.ctx.fork(change)
   }
 
--- /dev/null
+++ b/packages/controller/src/quota-needs.ts
@@ -0,0 +1,143 @@
+/**
+ * What a part needs of the teams' limits: what it uses, what its queued tasks
+ * could use, and which part goes first where the limits aren't enough for all.
+ */
+import type { JobState } from "@sorreltally/jobs"
+import {
+  goesFirst,
+  type JobView,
+  OVERDUE_RANK,
+  type QuotaNeed,
+  slotsIn,
+  type TeamClaim,
+  type TeamRoom,
+  tasksToBegin,
+  waitsTooLong,
+} from "@sorreltally/planner"
+import { type JobRequest, type TeamName, urgencyRank } from "@sorreltally/wire"
+import type { PartView } from "./context.ts"
+import type { Amount, ShareNeed } from "./shares.ts"
+
+/** Tasks of a job that so many cores hold, whatever else they need. */
+const slotsInCores = (request: JobRequest, cores: number): number =>
+  slotsIn(request, { cores, accelerators: Number.POSITIVE_INFINITY, mem_gb: Number.POSITIVE_INFINITY })
+
+/** Cores of our machines, up or coming, on which no task is placed. */
+export const unusedCores = (part: PartView, used: ReadonlyMap<TeamName, TeamRoom>): number => {
+  let cores = 0
+  for (const { type } of part.machines.values()) cores += type.cores
+  for (const { hireable, count } of part.hiring.values()) cores += count * hireable.type.cores
+  for (const u of used.values()) cores -= u.cores
+  return Math.max(0, cores)
+}
+
+/** Teams whose share here keeps queued tasks from starting that machines have room for. */
+export const quotaNeeds = (
+  part: PartView,
+  jobs: ReadonlyArray<JobView>,
+  teams: ReadonlyMap<TeamName, TeamRoom>,
+  unused: number,
+): ReadonlyArray<QuotaNeed> => {
+  const out = new Map<TeamName, QuotaNeed>()
+  for (const job of jobs) {
+    const { id, request, queued } = job
+    const room = teams.get(request.owner)
+    const wanting = Math.min(queued, slotsInCores(request, unused))
+    if (wanting === 0 || room === undefined) continue
+    const startable = slotsIn(request, { ...room, mem_gb: Number.POSITIVE_INFINITY })
+    if (startable >= wanting) continue
+    const overdue = waitsTooLong(job) && startable < Math.min(wanting, tasksToBegin(job))
+    const rank = overdue ? OVERDUE_RANK : job.rank
+    const since = part.jobs.get(id)?.submitted ?? 0
+    const need: QuotaNeed = { part: part.part, team: request.owner, rank, since }
+    const before = out.get(request.owner)
+    if (before === undefined || goesFirst(need, before)) out.set(request.owner, need)
+  }
+  return [...out.values()]
+}
+
+/** Claims are told in steps of this share of a limit, so that not every task that ends is news. */
+const CLAIM_STEP = 1 / 32
+
+/** What this part counts on of the teams' limits, after a plan. */
+export const teamClaims = (
+  part: PartView,
+  used: ReadonlyMap<TeamName, TeamRoom>,
+  planned: ReadonlyMap<TeamName, TeamRoom>,
+): ReadonlyArray<TeamClaim> => {
+  const inSteps = (amount: number, limit: number) =>
+    limit <= 0 ? 0 : Math.min(limit, Math.ceil(amount / (limit * CLAIM_STEP)) * limit * CLAIM_STEP)
+  const claims: Array<TeamClaim> = []
+  for (const { name, cpus_max, gpus_max } of part.ctx.platform.facts.teams) {
+    const use = used.get(name) ?? NOTHING
+    const more = planned.get(name) ?? NOTHING
+    claims.push({
+      part: part.part,
+      team: name,
+      cpus: inSteps(use.cores + more.cores, cpus_max),
+      gpus: inSteps(use.accelerators + more.accelerators, gpus_max),
+    })
+  }
+  return claims
+}
+const NOTHING: TeamRoom = { cores: 0, accelerators: 0 }
+
+/** Quota for a number of tasks, and how urgent the most urgent of them are. */
+class Demand {
+  cpus = 0
+  gpus = 0
+  rank = -1
+  since = Number.POSITIVE_INFINITY
+
+  add({ request, submitted }: JobState, tasks: number, rank: number): void {
+    this.cpus += tasks * request.cores
+    this.gpus += tasks * request.accelerators
+    if (rank > this.rank) this.since = submitted
+    else if (rank === this.rank) this.since = Math.min(this.since, submitted)
+    this.rank = Math.max(this.rank, rank)
+  }
+}
+
+/** What one part needs of one team's limit, given what the others ask for. */
+export const shareNeed = (
+  part: PartView,
+  team: TeamName,
+  use: TeamRoom,
+  quotas: ReadonlyArray<QuotaNeed>,
+  unused: number,
+): ShareNeed => {
+  const wall = part.ctx.time.wall()
+  const demand = new Demand()
+  const overdue = new Demand()
+  let left = unused
+  let smallest: JobRequest | null = null
+  for (const job of part.jobs.values()) {
+    const { request, queued } = job
+    if (request.owner !== team || job.withdrawn || queued === 0) continue
+    // Beyond what machines have room for, a share would only lie idle, and be asked back.
+    const tasks = Math.min(queued, slotsInCores(request, left))
+    if (tasks === 0) continue
+    left -= tasks * request.cores
+    demand.add(job, tasks, urgencyRank[request.urgency])
+    const waiting = { unbegun: job.unbegun, queued, ageS: (wall - job.submitted) / 1000 }
+    if (waitsTooLong(waiting)) overdue.add(job, Math.min(tasks, tasksToBegin(waiting)), OVERDUE_RANK)
+    if (smallest === null || request.cores < smallest.cores) smallest = request
+  }
+  const asking = quotas.filter((q) => q.team === team)
+  const others = (of: Demand) =>
+    asking.some((q) => goesFirst(q, { part: part.part, team, rank: of.rank, since: of.since }))
+  const need = (of: Demand, asked: ShareNeed["asked"]): ShareNeed => ({
+    used: amountOf(use),
+    wanted: { cpus: use.cores + of.cpus, gpus: use.accelerators + of.gpus },
+    smallestTask: smallest === null ? null : { cpus: smallest.cores, gpus: smallest.accelerators },
+    asked,
+  })
+  if (asking.length === 0) return need(demand, "no")
+  if (!others(demand)) return need(demand, "after")
+  // Guards against work of low rank that never begins while other parts have more urgent work than
+  // the limit holds: some tasks of a job that waited too long go before it.
+  if (overdue.cpus + overdue.gpus > 0 && !others(overdue)) return need(overdue, "after")
+  return need(demand, "first")
+}
+
+const amountOf = ({ cores, accelerators }: TeamRoom): Amount => ({ cpus: cores, gpus: accelerators })
--- a/packages/controller/src/shares.ts
+++ b/packages/controller/src/shares.ts
@@ -1,5 +1,5 @@
 import type { Mirror } from "@sorreltally/membership"
-import { EPSILON } from "@sorreltally/planner"
+import { EPSILON, type TeamClaim } from "@sorreltally/planner"
 import type { Team } from "@sorreltally/settings"
 import { keys, type QuotaRecord, type StateClient } from "@sorreltally/state"
 import {
@@ -13,7 +13,8 @@
 } from "@sorreltally/wire"
 import { Effect, Result } from "effect"
 
-interface Amount {
+/** Quota of one team. */
+export interface Amount {
   readonly cpus: number
   readonly gpus: number
 }
@@ -80,18 +81,24 @@
 
   /**
    * What the team's limit leaves us beyond what we use: machines are rented by
-   * this, before a share covers them. The others are taken to use theirs but
-   * for what one part keeps for changes: a part without any share has to rent
-   * its first machines, as it asks for quota only when machines have room.
+   * this, before a share covers them. Of the other parts' limit counts what
+   * they say that they count on, or their share while they say nothing. A
+   * part can always rent for as much as is kept for changes: it asks for quota
+   * only once machines have room.
    */
-  beyond(team: Team, used: Amount): Amount {
-    const shares = this.mirror.get<QuotaRecord>(keys.quota(team.name))?.v.shares ?? {}
+  beyond(team: Team, used: Amount, claims: ReadonlyArray<TeamClaim>): Amount {
+    const theirs = new Map<string, Amount>(
+      Object.entries(this.mirror.get<QuotaRecord>(keys.quota(team.name))?.v.shares ?? {}),
+    )
+    for (const { part, team: of, cpus, gpus } of claims)
+      if (of === team.name) theirs.set(part, { cpus, gpus })
+    theirs.delete(this.part)
     let others = NONE
-    for (const [part, share] of Object.entries(shares))
-      if (part !== this.part) others = { cpus: others.cpus + share.cpus, gpus: others.gpus + share.gpus }
+    for (const { cpus, gpus } of theirs.values())
+      others = { cpus: others.cpus + cpus, gpus: others.gpus + gpus }
     // Guards against renting for nearly the whole limit in each part, as counting every part's slack would.
-    const left = (limit: number, theirs: number, ours: number) =>
-      Math.max(0, limit - Math.max(0, theirs - limit * SLACK) - ours)
+    const left = (limit: number, taken: number, ours: number) =>
+      Math.max(0, limit - Math.max(0, taken - limit * SLACK) - ours)
     return {
       cpus: left(team.cpus_max, others.cpus, used.cpus),
       gpus: left(team.gpus_max, others.gpus, used.gpus),
--- a/packages/controller/src/views.ts
+++ b/packages/controller/src/views.ts
@@ -1,15 +1,12 @@
 import {
   EPSILON,
-  goesFirst,
   isReserved,
   type JobView,
   type Load,
   type MachineView,
   nextTarget,
-  type QuotaNeed,
   REACH,
   type Reserve,
-  slotsIn,
   type TeamRoom,
 } from "@sorreltally/planner"
 import {
@@ -41,40 +38,6 @@
   return used
 }
 
-/** Tasks of a job that so many cores hold, whatever else they need. */
-export const slotsInCores = (request: JobRequest, cores: number): number =>
-  slotsIn(request, { cores, accelerators: Number.POSITIVE_INFINITY, mem_gb: Number.POSITIVE_INFINITY })
-
-/** Cores of our machines, up or coming, on which no task is placed. */
-export const unusedCores = (part: PartView, used: ReadonlyMap<TeamName, TeamRoom>): number => {
-  let cores = 0
-  for (const { type } of part.machines.values()) cores += type.cores
-  for (const { hireable, count } of part.hiring.values()) cores += count * hireable.type.cores
-  for (const u of used.values()) cores -= u.cores
-  return Math.max(0, cores)
-}
-
-/** Teams whose share here keeps queued tasks from starting that machines have room for. */
-export const quotaNeeds = (
-  part: PartView,
-  jobs: ReadonlyArray<JobView>,
-  teams: ReadonlyMap<TeamName, TeamRoom>,
-  unused: number,
-): ReadonlyArray<QuotaNeed> => {
-  const out = new Map<TeamName, QuotaNeed>()
-  for (const { id, request, queued, rank } of jobs) {
-    const room = teams.get(request.owner)
-    const wanting = Math.min(queued, slotsInCores(request, unused))
-    if (wanting === 0 || room === undefined) continue
-    if (slotsIn(request, { ...room, mem_gb: Number.POSITIVE_INFINITY }) >= wanting) continue
-    const since = part.jobs.get(id)?.submitted ?? 0
-    const need: QuotaNeed = { part: part.part, team: request.owner, rank, since }
-    const before = out.get(request.owner)
-    if (before === undefined || goesFirst(need, before)) out.set(request.owner, need)
-  }
-  return [...out.values()]
-}
-
 /** Running tasks that end later than this are as good as never ending to the planner. */
 const HORIZON_S = 600
 
@@ -128,7 +91,7 @@
       ageS,
       executionS,
       startWithinS: nextTarget(startTargets(part, request.lane, executionS), ageS, 0),
-      unbegun: job.placements.size === 0 && job.done === 0,
+      unbegun: job.unbegun,
       withinGuarantee: team !== undefined && demand <= team.cpus,
       mayStart: job.notBefore === null || now >= job.notBefore,
     })
--- a/packages/controller/test/shares.test.ts
+++ b/packages/controller/test/shares.test.ts
@@ -110,9 +110,22 @@
 test("machines are rented by the limit without what other parts have, but for one part's slack", () => {
   const { shares } = new Fixture({ [ours]: 10, "part-1": 30, "part-2": 30, "part-3": 30 })
   // 100 - (90 - 12.5) = 22.5 in all.
-  assert.equal(shares.beyond(team, cpus(0)).cpus, 22.5)
-  assert.equal(shares.beyond(team, cpus(10)).cpus, 12.5)
-  assert.equal(new Fixture({ "part-1": 100 }).shares.beyond(team, cpus(0)).cpus, 12.5)
+  assert.equal(shares.beyond(team, cpus(0), []).cpus, 22.5)
+  assert.equal(shares.beyond(team, cpus(10), []).cpus, 12.5)
+  assert.equal(new Fixture({ "part-1": 100 }).shares.beyond(team, cpus(0), []).cpus, 12.5)
+})
+
+test("what other parts say that they count on counts instead of their shares", () => {
+  const { shares } = new Fixture({ [ours]: 10, "part-1": 30, "part-2": 30, "part-3": 30 })
+  const claim = (part: string, amount: number) => ({ part: part as PartName, team: red, ...cpus(amount) })
+  // 100 - (10 + 20 + 30 - 12.5) = 52.5: two parts leave some of their shares unused.
+  assert.equal(shares.beyond(team, cpus(0), [claim("part-1", 10), claim("part-2", 20)]).cpus, 52.5)
+  // A part that has rented beyond its share counts for that.
+  assert.equal(shares.beyond(team, cpus(0), [claim("part-1", 50)]).cpus, 2.5)
+  assert.equal(
+    shares.beyond(team, cpus(0), [{ ...claim("part-1", 50), team: "blue" as TeamName }]).cpus,
+    22.5,
+  )
 })
 
 // Guards against a job left waiting: a part that goes first takes quota back again and again for what fits nowhere.
--- a/packages/jobs/src/job.ts
+++ b/packages/jobs/src/job.ts
@@ -78,6 +78,10 @@
   get queued(): number {
     return this.pieces - this.finishedCount - this.placements.size
   }
+  /** No task of it ever began. */
+  get unbegun(): boolean {
+    return this.placements.size === 0 && this.finishedCount === 0
+  }
   get complete(): boolean {
     return this.finishedCount === this.pieces
   }
--- a/packages/planner/src/lend.ts
+++ b/packages/planner/src/lend.ts
@@ -30,6 +30,14 @@
   readonly since: number
 }
 
+/** What a part counts on of a team's limit: what its tasks use, and what it has or rents machines for. */
+export interface TeamClaim {
+  readonly part: PartName
+  readonly team: TeamName
+  readonly cpus: number
+  readonly gpus: number
+}
+
 /** Every two parts agree which of them goes first. */
 export const goesFirst = (a: QuotaNeed, b: QuotaNeed): boolean =>
   a.rank !== b.rank ? a.rank > b.rank : a.since !== b.since ? a.since < b.since : a.part < b.part
@@ -37,6 +45,7 @@
 export interface Wants {
   readonly needs: ReadonlyArray<Need>
   readonly quotas: ReadonlyArray<QuotaNeed>
+  readonly claims: ReadonlyArray<TeamClaim>
 }
 
 export interface Lent {
--- a/packages/planner/src/limits.ts
+++ b/packages/planner/src/limits.ts
@@ -15,7 +15,7 @@
 export class LimitRoom {
   private readonly teams = new Map<TeamName, TeamRoom>()
 
-  constructor(limits: ReadonlyMap<TeamName, TeamRoom>) {
+  constructor(private readonly limits: ReadonlyMap<TeamName, TeamRoom>) {
     for (const [team, room] of limits) this.teams.set(team, { ...room })
   }
 
@@ -31,4 +31,14 @@
     room.cores -= request.cores * tasks
     room.accelerators -= request.accelerators * tasks
   }
+
+  /** What was taken of each team's room. */
+  taken(): ReadonlyMap<TeamName, TeamRoom> {
+    const taken = new Map<TeamName, TeamRoom>()
+    for (const [team, { cores, accelerators }] of this.limits) {
+      const left = this.teams.get(team)!
+      taken.set(team, { cores: cores - left.cores, accelerators: accelerators - left.accelerators })
+    }
+    return taken
+  }
 }
--- a/packages/planner/src/model.ts
+++ b/packages/planner/src/model.ts
@@ -162,6 +162,8 @@
   readonly steadyWanted: boolean
   /** Queued tasks for which no machine of ours that is up has room, most urgent job first. */
   readonly unplaced: ReadonlyArray<Unplaced>
+  /** What the plan counts on of each team's limit beyond what is used: placed, expected on machines, or rented for. */
+  readonly claims: ReadonlyMap<TeamName, TeamRoom>
   /** Machines that are up, empty and of use to no queued task: none fits, or the teams' limits let none start. */
   readonly idle: ReadonlySet<MachineId>
 }
--- a/packages/planner/src/plan.ts
+++ b/packages/planner/src/plan.ts
@@ -20,6 +20,7 @@
   zoneAllowance,
 } from "./model.ts"
 import { inTiers } from "./order.ts"
+import { tasksToBegin, waitsTooLong } from "./overdue.ts"
 
 /** Seconds of fetching that other work rather takes than room beside the reserve's images. */
 const RESERVED_S = 4
@@ -33,14 +34,6 @@
 /** A kind that costs at most this much more is asked as well, rather than waiting for the cheapest one's answer. */
 const ABOUT_AS_CHEAP = 1.1
 
-/**
- * Order by rank, due time and size would let what is low, late or large wait
- * for ever: of a job of which nothing has begun for this long, so many tasks
- * go before all others.
- */
-const WAITED_LONG_S = 90
-const TO_BEGIN = 0.05
-
 interface Slot {
   readonly machine: MachineView
   readonly reserved: boolean
@@ -101,7 +94,7 @@
     queued.set(job.id, left - placed)
     running.set(job.id, (running.get(job.id) ?? 0) + placed)
   }
-  for (const job of jobs) if (waitsTooLong(job)) place(job, Math.ceil(job.queued * TO_BEGIN))
+  for (const job of jobs) if (waitsTooLong(job)) place(job, tasksToBegin(job))
   for (const tier of tiers) {
     for (const run of runsOf(tier, canWait)) {
       if (run.length > 1) for (const job of run) place(job, job.queued, true)
@@ -149,7 +142,7 @@
       job,
       pending,
       running.get(job.id) ?? 0,
-      allowedTasks - onUp,
+      room - onUp,
       comingKinds,
       snapshot,
     )
@@ -168,6 +161,7 @@
     holders,
     steadyWanted,
     unplaced,
+    claims: rentable.taken(),
     idle: new Set(up.filter(isIdle).map(({ machine }) => machine.id)),
   }
 }
@@ -237,8 +231,6 @@
   return runs
 }
 
-const waitsTooLong = (job: JobView): boolean => job.unbegun && job.queued > 0 && job.ageS > WAITED_LONG_S
-
 /** How many more tasks the job's team may start. */
 const roomOf = (job: JobView, teams: Snapshot["teams"]): number => {
   const room = teams.get(job.request.owner)
--- a/packages/testkit/src/cloud.ts
+++ b/packages/testkit/src/cloud.ts
@@ -26,6 +26,8 @@
   get rented(): number {
     return this.count
   }
+  /** Machines to be had in zones that differ from the others. */
+  readonly zoneCapacity = new Map<string, number>()
   private down = false
   private history: Array<{ readonly at: number; readonly hosts: ReadonlyArray<Record<string, unknown>> }> = []
 
@@ -92,7 +94,8 @@
     const have = [...this.machines.values()].filter(
       (m) => m.type === type && m.zone === want.site && m.spot === want.loaners,
     ).length
-    const count = Math.min(want.how_many, 50, this.settings.capacity - have)
+    const capacity = this.zoneCapacity.get(want.site) ?? this.settings.capacity
+    const count = Math.min(want.how_many, 50, capacity - have)
     if (count <= 0) return { status: 503, body: { error: "no capacity" } }
     const hosts: Array<string> = []
     for (let i = 0; i < count; i++) hosts.push(this.rent(type, want.site, want.loaners).id)
--- /dev/null
+++ b/packages/testkit/src/limit-meetings.ts
@@ -0,0 +1,99 @@
+import type { World } from "./world.ts"
+
+/** A new leader acts within some tens of milliseconds: what was so at the change has to be seen before. */
+const LEADER_LOOK_MS = 20
+const OVERLOAD_LOOK_MS = 500
+
+/**
+ * Counts how often troubles met while teams were at their limits, so that a
+ * scenario can assert that its meeting came about. Judged by what the
+ * stand-ins know: tasks that run, machines that hang or are cut off, and who
+ * owns the leader's part.
+ */
+export class LimitMeetings {
+  readonly count = {
+    /** Changes of the leader while every team was at its limit and had work waiting. */
+    leaderChangesAtLimit: 0,
+    /** Tasks of cancelled jobs on machines out of reach when the leader had changed. */
+    cancelledOutOfReach: 0,
+    /** Jobs whose cancellation was asked for after a leader had ended and before the next one owned its part. */
+    cancelledBetweenLeaders: 0,
+    /** Looks at which urgent and other work waited in vain for room while links were slow. */
+    overloadedOnSlowLinks: 0,
+  }
+  private leader: string | null = null
+  private incarnation: string | null = null
+  private cancelledAtEnd: ReadonlySet<string> | null = null
+
+  constructor(private readonly world: World) {
+    this.every(LEADER_LOOK_MS, () => this.lookAtLeader())
+    this.every(OVERLOAD_LOOK_MS, () => {
+      if (world.net.slowMs > 0 && this.urgentAndOthersWait()) this.count.overloadedOnSlowLinks++
+    })
+  }
+  private every(ms: number, look: () => void): void {
+    this.world.sim.after(ms, () => {
+      look()
+      this.every(ms, look)
+    })
+  }
+
+  /** A controller is about to end. */
+  crashed(name: string): void {
+    if (this.leader !== name || this.cancelledAtEnd !== null) return
+    this.cancelledAtEnd = new Set(this.world.rules.users.askedToCancel)
+  }
+
+  private lookAtLeader(): void {
+    const owner = this.world.state.keys.get("s/part/deadline")?.v as
+      | { readonly owner: string; readonly incarnation: string }
+      | undefined
+    if (owner === undefined || owner.incarnation === this.incarnation) return
+    const first = this.incarnation === null
+    this.incarnation = owner.incarnation
+    this.leader = owner.owner
+    if (!first) this.leaderChanged()
+  }
+
+  private leaderChanged(): void {
+    const { users } = this.world.rules
+    if (this.world.rules.teamNames().every((team) => this.isAtLimit(team))) this.count.leaderChangesAtLimit++
+    for (const { job, machine } of this.world.rules.placed())
+      if (users.askedToCancel.has(job) && this.isOutOfReach(machine)) this.count.cancelledOutOfReach++
+    const before = this.cancelledAtEnd
+    this.cancelledAtEnd = null
+    if (before === null) return
+    for (const job of users.askedToCancel) if (!before.has(job)) this.count.cancelledBetweenLeaders++
+  }
+
+  /** Has it work waiting, of which its limit lets nothing start? */
+  private isAtLimit(team: string): boolean {
+    let smallest = Number.POSITIVE_INFINITY
+    for (const { owner, cores } of this.waiting()) if (owner === team) smallest = Math.min(smallest, cores)
+    const { rules } = this.world
+    return Number.isFinite(smallest) && rules.usedBy(team) + smallest > rules.limitOf(team)
+  }
+  private urgentAndOthersWait(): boolean {
+    let urgent = false
+    let other = false
+    for (const { urgency } of this.waiting()) {
+      if (urgency === "high" || urgency === "production") urgent = true
+      else other = true
+    }
+    return urgent && other
+  }
+  /** Accepted jobs that aren't cancelled, with tasks that don't run. */
+  private *waiting() {
+    const { rules } = this.world
+    const placed = new Map<string, number>()
+    for (const { job } of rules.placed()) placed.set(job, (placed.get(job) ?? 0) + 1)
+    for (const [job, request] of rules.submitted) {
+      if (!rules.users.isAccepted(job) || rules.users.askedToCancel.has(job)) continue
+      if (rules.users.finishedTasks(job) + (placed.get(job) ?? 0) < request.pieces) yield request
+    }
+  }
+  private isOutOfReach(machine: string): boolean {
+    const { cloud, net, names } = this.world
+    return cloud.machines.get(machine)?.isHung === true || names.every((node) => net.isApart(machine, node))
+  }
+}
--- a/packages/testkit/src/net.ts
+++ b/packages/testkit/src/net.ts
@@ -30,6 +30,8 @@
   private readonly cuts = new Set<Cut>()
   loss = 0
   repeat = 0
+  /** Every message takes up to this much longer. */
+  slowMs = 0
   /** Copies come at most this much later. */
   repeatWithinMs = 20_000
 
@@ -57,6 +59,12 @@
     }
   }
 
+  /** Does a cut keep messages between the two from arriving? */
+  isApart(a: string, b: string): boolean {
+    for (const cut of this.cuts) if (cut.apart(a, b) || cut.apart(b, a)) return true
+    return false
+  }
+
   /** One message one way; `lost` is called when its sender can tell. */
   carry(from: string, to: string, deliver: () => void, lost: () => void = () => {}): void {
     for (const cut of this.cuts) {
@@ -66,7 +74,8 @@
       return
     }
     if (this.sim.luck.chance(this.loss)) return
-    this.sim.after(this.sim.luck.between(0.3, 3), deliver)
+    const slow = this.slowMs === 0 ? 0 : this.sim.luck.between(0, this.slowMs)
+    this.sim.after(slow + this.sim.luck.between(0.3, 3), deliver)
     if (this.sim.luck.chance(this.repeat))
       this.sim.after(this.sim.luck.between(5, this.repeatWithinMs), deliver)
   }
--- a/packages/testkit/src/rules.ts
+++ b/packages/testkit/src/rules.ts
@@ -96,6 +96,20 @@
   isFinished(job: string, index: number): boolean {
     return this.users.isFinished(job, index)
   }
+  /** Every task that is on a machine. */
+  *placed(): Iterable<{ readonly job: string; readonly machine: string }> {
+    for (const [task, { machine }] of this.places) yield { job: task.slice(0, task.indexOf("/")), machine }
+  }
+  /** CPUs that a team's tasks use. */
+  usedBy(team: string): number {
+    return this.used.get(team) ?? 0
+  }
+  teamNames(): ReadonlyArray<string> {
+    return this.teams.map(({ name }) => name)
+  }
+  limitOf(team: string): number {
+    return this.teams.find(({ name }) => name === team)?.cpus_max ?? 0
+  }
   /** Machines on which tasks of the job are. */
   machinesOf(job: string): ReadonlySet<string> {
     const on = [...this.places].filter(([task]) => task.startsWith(`${job}/`))
--- a/packages/testkit/src/scenario.ts
+++ b/packages/testkit/src/scenario.ts
@@ -1,6 +1,7 @@
 import type { JobId, JobRequest } from "@sorreltally/wire"
 import { type Form, parse } from "sexpr-plus"
 import { type Action, type Args, node, number } from "./actions.ts"
+import { limitActions } from "./limit-actions.ts"
 import { troubleActions } from "./trouble-actions.ts"
 import { HARMLESS, userActions, userExpectations } from "./user-actions.ts"
 import { type Sending, type Setup, usualSetup, World } from "./world.ts"
@@ -57,6 +58,7 @@
 /** Everything a scenario can make happen. Times are in seconds. */
 const actions: Record<string, Action> = {
   ...troubleActions,
+  ...limitActions,
   ...userActions,
   submit: (world, args) =>
     world.users.submit(jobFrom(`run-${String(++jobCount).padStart(6, "0")}` as JobId, args)),
--- a/packages/testkit/src/user-actions.ts
+++ b/packages/testkit/src/user-actions.ts
@@ -60,6 +60,7 @@
 const happened = (world: World): Readonly<Record<string, number>> => ({
   ...world.userTroubles.count,
   ...world.state.faults.count,
+  ...world.limitMeetings.count,
   startsAfterCancellation: world.rules.startsAfterCancellation,
 })
 
--- a/packages/testkit/src/user-rules.ts
+++ b/packages/testkit/src/user-rules.ts
@@ -61,9 +61,12 @@
   isFinished(job: string, index: number): boolean {
     return this.doneTasks.get(job)?.has(index) === true
   }
+  finishedTasks(job: string): number {
+    return this.doneTasks.get(job)?.size ?? 0
+  }
   /** All tasks of the job have completed. */
   isComplete(job: string): boolean {
-    return (this.doneTasks.get(job)?.size ?? 0) >= (this.submitted.get(job)?.pieces ?? 0)
+    return this.finishedTasks(job) >= (this.submitted.get(job)?.pieces ?? 0)
   }
 
   state(job: string): string | null {
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -13,6 +13,7 @@
 } from "@sorreltally/wire"
 import { Effect, Exit, Random } from "effect"
 import { Cloud } from "./cloud.ts"
+import { LimitMeetings } from "./limit-meetings.ts"
 import { type Answer, Net, type Request } from "./net.ts"
 import { Rules } from "./rules.ts"
 import { type Process, Sim } from "./sim.ts"
@@ -67,6 +68,7 @@
   readonly troubles: Troubles
   readonly users: Users
   readonly userTroubles: UserTroubles
+  readonly limitMeetings: LimitMeetings
   readonly names: ReadonlyArray<NodeName>
   private readonly lives = new Map<NodeName, Life>()
   readonly logged: Array<string> = []
@@ -97,6 +99,7 @@
     this.users = new Users(this.sim, this.net, this.rules.users, this.names)
     this.userTroubles = new UserTroubles(this.sim, this.users, this.rules)
     this.troubles = new Troubles(this)
+    this.limitMeetings = new LimitMeetings(this)
     for (let i = 0; i < setup.nodes; i++) this.sim.after(i * 150, () => this.start(this.names[i]!))
     const look = () => {
       this.rules.look()
@@ -234,6 +237,7 @@
   }
 
   crash(name: NodeName, backAfterMs: number): void {
+    this.limitMeetings.crashed(name)
     this.lives.get(name)?.process.kill()
     this.lives.delete(name)
     this.net.close(name)
--- /dev/null
+++ b/scenarios/limits-leader-change.sexp
@@ -0,0 +1,11 @@
+(scenario "a team is at its limit when the leader changes, some machines can't be asked, and jobs are cancelled in that spell"
+  (seed 72) (until 150) (team-limit 24) (capacity 6)
+  (at 1 (submit pieces 6 cores 4 run 80 due 105 spot no) (submit owner blue pieces 6 cores 4 run 80 due 105 spot no))
+  (at 28 (submit pieces 6 cores 4 run 15 due 100) (submit owner blue pieces 6 cores 4 run 15 due 100))
+  (at 30 (cut-machines 3 25 hold) (hang 2 24))
+  (at 32 (crash host-0 4))
+  (at 33 (cancel 0) (cancel 1))
+  (expect (withdrawn 2) (all-over) (begun-within 45) (happened leaderChangesAtLimit) (happened cancelledOutOfReach 3) (happened cancelledBetweenLeaders 2))
+  (guard "packages/controller/src/engine.ts" "if (job.withdrawn) job.stop(placement, { why: \"withdrawn\", leewayS: 0, since: now })" "if (job.withdrawn) job.clear(placement)")
+  (guard "packages/controller/src/engine.ts" "else session.hold(placement)" "else job.clear(placement)")
+  (guard "packages/controller/src/engine.ts" "if (this.ready && job.ended)" "if (job.ended)"))
--- /dev/null
+++ b/scenarios/overload-slow-links.sexp
@@ -0,0 +1,10 @@
+(scenario "more work than room, urgent and not, over slow links: every job begins, and most of every class is served"
+  (seed 74) (until 520) (team-limit 120) (capacity 2)
+  (at 1 (slow-links 0.5 260) (submit pieces 60 cores 4 run 30 urgency best_effort lane sweep))
+  (at 2 (stream 44 220 pieces 5 cores 4 run 16 lane train owner red) (stream 50 220 pieces 6 cores 4 run 12 urgency high due 60 lane release owner red)
+        (stream 24 220 pieces 5 cores 4 run 16 lane train owner blue) (stream 24 220 pieces 6 cores 4 run 12 urgency high due 60 lane release owner blue))
+  (at 20 (submit pieces 30 cores 8 run 20 owner blue urgency best_effort lane sweep due 500))
+  (expect (all-over) (served) (largest-begun-within 240) (begun-within 240) (happened overloadedOnSlowLinks 300))
+  (guard "packages/planner/src/plan.ts" "for (const job of jobs) if (waitsTooLong(job)) place(job, tasksToBegin(job))" "")
+  (guard "packages/controller/src/machine-needs.ts" "rank: OVERDUE_RANK," "rank: first.rank,")
+  (guard "packages/controller/src/quota-needs.ts" "if (overdue.cpus + overdue.gpus > 0 && !others(overdue)) return need(overdue, \"after\")" ""))
