--- a/packages/testkit/src/user-actions.ts
+++ b/packages/testkit/src/user-actions.ts
@@ -68,6 +68,7 @@
   ...world.userTroubles.count,
   ...world.state.faults.count,
   ...world.membershipTroubles.count,
+  ...world.limitMeetings.count,
   startsAfterCancellation: world.rules.startsAfterCancellation,
 })
 
