--- a/packages/testkit/src/machines.ts
+++ b/packages/testkit/src/machines.ts
@@ -113,9 +113,6 @@
     this.missed = []
     for (const run of missed) run()
   }
-  get isHung(): boolean {
-    return this.hung
-  }
   /** Off and on again: it knows nothing of its former self, whatever it cached or ran. */
   reboot(afterMs: number): void {
     if (this.gone || this.status !== "running") return
--- a/packages/testkit/src/rules.ts
+++ b/packages/testkit/src/rules.ts
@@ -127,9 +127,6 @@
   teamNames(): ReadonlyArray<string> {
     return this.teams.map(({ name }) => name)
   }
-  limitOf(team: string): number {
-    return this.teams.find(({ name }) => name === team)?.cpus_max ?? 0
-  }
   /** Machines on which tasks of the job are. */
   machinesOf(job: string): ReadonlySet<string> {
     const on = [...this.places].filter(([task]) => task.startsWith(`${job}/`))
