--- a/packages/testkit/src/rules.ts
+++ b/packages/testkit/src/rules.ts
@@ -27,6 +27,8 @@
   startsAfterCancellation = 0
   /** No trouble is under way after this. */
   quietFrom = 0
+  /** When a controller last ended. */
+  lastCrashAt = Number.NEGATIVE_INFINITY
   readonly begunAt = new Map<string, number>()
   /** Told when a job's last task has completed, at that very moment. */
   readonly onComplete: Array<(job: string) => void> = []
@@ -114,12 +116,32 @@
   isFinished(job: string, index: number): boolean {
     return this.users.isFinished(job, index)
   }
+  /** Every task that is on a machine. */
+  *placed(): Iterable<{ readonly job: string; readonly machine: string }> {
+    for (const [task, { machine }] of this.places) yield { job: task.slice(0, task.indexOf("/")), machine }
+  }
+  /** CPUs that a team's tasks use. */
+  usedBy(team: string): number {
+    return this.used.get(team) ?? 0
+  }
+  teamNames(): ReadonlyArray<string> {
+    return this.teams.map(({ name }) => name)
+  }
   /** Machines on which tasks of the job are. */
   machinesOf(job: string): ReadonlySet<string> {
     const on = [...this.places].filter(([task]) => task.startsWith(`${job}/`))
     return new Set(on.map(([, { machine }]) => machine))
   }
 
+  /** A task is on the machine whose user was told that its job is cancelled. */
+  hasCancelledTask(machine: string): boolean {
+    for (const [task, on] of this.places) {
+      const job = task.slice(0, task.indexOf("/"))
+      if (on.machine === machine && this.users.cancelledAt.has(job)) return true
+    }
+    return false
+  }
+
   /** Running jobs of which some task should run on for this long, by what is left; nobody cancelled them. */
   jobsWithLongToGo(leastS: number): ReadonlyArray<string> {
     const left = new Map<string, number>()
