--- a/packages/api/src/users.ts
+++ b/packages/api/src/users.ts
@@ -1,14 +1,7 @@
 import { allowed } from "@sorreltally/planner"
 import type { Operators, Platform } from "@sorreltally/settings"
+import type { JobRecord, StateTrouble } from "@sorreltally/state"
 import {
-  type FinalRecord,
-  type JobRecord,
-  keys,
-  type StateClient,
-  type StateTrouble,
-} from "@sorreltally/state"
-import {
-  ABSENT,
   decodeJobRequest,
   decodeReport,
   type Incoming,
@@ -19,24 +12,31 @@
   type MachineType,
   type Outgoing,
   type Report,
-  type Stamp,
   type Timekeeper,
   type TypeName,
 } from "@sorreltally/wire"
 import { Effect, Option, Result, Schema } from "effect"
 import { Limiter } from "./limiter.ts"
 
+type Found =
+  | { readonly kind: "live"; readonly record: JobRecord }
+  | { readonly kind: "final"; readonly status: "done" | "withdrawn" }
+  | { readonly kind: "none" }
+
+/** All jobs of the deployment. What is found is not older than the question. */
+export interface JobTable {
+  readonly find: (id: JobId) => Effect.Effect<Found, StateTrouble>
+  /** Durably; what is found otherwise was accepted before. */
+  readonly accept: (record: JobRecord) => Effect.Effect<Found | { readonly kind: "accepted" }, StateTrouble>
+  /** Durably: what is live then is cancelled. A job that is over stays as it is. */
+  readonly cancel: (id: JobId) => Effect.Effect<Found, StateTrouble>
+}
+
 /** What the users' side asks of the controller behind it. */
 export interface Desk {
   readonly ready: () => boolean
   readonly catalog: () => ReadonlyMap<TypeName, MachineType> | null
-  readonly jobChanged: (path: string, record: JobRecord, stamp: Stamp) => Effect.Effect<void>
-  /** A live job, not older than this question; null when none of this id is live. */
-  readonly live: (
-    id: JobId,
-  ) => Effect.Effect<{ readonly record: JobRecord; readonly stamp: Stamp } | null, StateTrouble>
-  readonly final: (id: JobId) => "done" | "withdrawn" | null
-  readonly remember: (id: JobId, status: "done" | "withdrawn") => void
+  readonly jobs: JobTable
   readonly counts: (id: JobId) => { readonly done: number; readonly running: number }
   readonly report: (body: Report) => Effect.Effect<Outgoing>
 }
@@ -47,11 +47,6 @@
 const POLL_MS = 1_500
 const isJobId = Schema.is(JobIdSchema)
 
-type Found =
-  | { readonly kind: "live"; readonly record: JobRecord; readonly stamp: Stamp }
-  | { readonly kind: "final"; readonly status: "done" | "withdrawn" }
-  | { readonly kind: "none" }
-
 /** The HTTP interface for users, workers and health checks, apart from the sockets. */
 export class Api {
   private readonly limiter: Limiter
@@ -59,7 +54,6 @@
   constructor(
     private readonly platform: Platform,
     private readonly operators: Operators,
-    private readonly state: StateClient,
     private readonly desk: Desk,
     private readonly time: Timekeeper,
   ) {
@@ -136,7 +130,7 @@
       const refusal = this.refusal(request)
       if (refusal !== null) {
         // A job once accepted stays accepted, whatever we would say to it today.
-        const found = yield* this.find(request.id)
+        const found = yield* this.desk.jobs.find(request.id)
         if (found.kind !== "none") return this.view(request.id, found)
         return refusal
       }
@@ -144,17 +138,9 @@
         request,
         submitted: this.time.wall(),
       }
-      const path = keys.job(request.id)
-      const when = [
-        { path, stamp: ABSENT },
-        { path: keys.final(request.id), stamp: ABSENT },
-      ]
-      const made = yield* this.state.multi(when, [{ set: path, v: record }], 1)
-      if (made.ok) {
-        yield* this.desk.jobChanged(path, record, made.epoch)
+      const found = yield* this.desk.jobs.accept(record)
+      if (found.kind === "accepted")
         return { status: 201, body: { id: request.id, status: "queued" } satisfies JobView }
-      }
-      const found = yield* this.find(request.id)
       if (found.kind === "none") return this.later(503, "the job's state can't be read now")
       return this.view(request.id, found)
     })
@@ -185,26 +171,6 @@
 
   // --- polls and cancellations --------------------------------------------------
 
-  /**
-   * What is so now, not what was so when we last heard: a cancellation
-   * accepted by another node may not have reached us yet. A job moves from its
-   * live key to its final one, so looking them up in this order never misses
-   * one that was accepted before.
-   */
-  private find(id: JobId): Effect.Effect<Found, StateTrouble> {
-    return Effect.gen({ self: this }, function* () {
-      const known = this.desk.final(id)
-      if (known !== null) return { kind: "final", status: known } as const
-      const live = yield* this.desk.live(id)
-      if (live !== null) return { kind: "live", ...live } as const
-      const final = yield* this.state.get(keys.final(id))
-      if (final === null) return { kind: "none" } as const
-      const { status } = final.v as FinalRecord
-      this.desk.remember(id, status)
-      return { kind: "final", status } as const
-    })
-  }
-
   private view(id: JobId, found: Found): Outgoing {
     if (found.kind === "none") return { status: 404, body: { error: "no such job" } }
     if (found.kind === "final") return { status: 200, body: { id, status: found.status } satisfies JobView }
@@ -217,22 +183,16 @@
 
   private poll(id: string): Effect.Effect<Outgoing, StateTrouble> {
     if (!isJobId(id)) return Effect.succeed({ status: 404, body: { error: "no such job" } })
-    return Effect.map(this.find(id), (found) => this.view(id, found))
+    return Effect.map(this.desk.jobs.find(id), (found) => this.view(id, found))
   }
 
   private cancel(id: string): Effect.Effect<Outgoing, StateTrouble> {
     if (!isJobId(id)) return Effect.succeed({ status: 404, body: { error: "no such job" } })
-    return Effect.gen({ self: this }, function* () {
-      for (;;) {
-        const found = yield* this.find(id)
-        if (found.kind !== "live" || found.record.withdrawn === true) return this.view(id, found)
-        const record: JobRecord = { ...found.record, withdrawn: true }
-        const path = keys.job(id)
-        const done = yield* this.state.multi([{ path, stamp: found.stamp }], [{ set: path, v: record }], 1)
-        if (!done.ok) continue
-        yield* this.desk.jobChanged(path, record, done.epoch)
-        return { status: 200, body: { id, status: "withdrawn" } satisfies JobView }
-      }
+    return Effect.map(this.desk.jobs.cancel(id), (found) => {
+      const cancelled = found.kind === "live"
+      return cancelled
+        ? { status: 200, body: { id, status: "withdrawn" } satisfies JobView }
+        : this.view(id, found)
     })
   }
 }
--- a/packages/api/test/users.test.ts
+++ b/packages/api/test/users.test.ts
@@ -1,11 +1,11 @@
 import assert from "node:assert/strict"
 import { test } from "node:test"
 import { defaultOperators, type Platform } from "@sorreltally/settings"
-import { type JobRecord, type StateClient, StateTrouble } from "@sorreltally/state"
-import type { MachineType, Moment, Outgoing, Stamp, TypeName, WallTime } from "@sorreltally/wire"
+import { type JobRecord, StateTrouble } from "@sorreltally/state"
+import type { MachineType, Moment, Outgoing, TypeName, WallTime } from "@sorreltally/wire"
 import { Effect } from "effect"
 import { Limiter } from "../src/limiter.ts"
-import { Api } from "../src/users.ts"
+import { Api, type JobTable } from "../src/users.ts"
 
 const good = {
   id: "run-000412",
@@ -30,25 +30,34 @@
 }
 
 const harness = (options: { readonly catalog?: boolean; readonly down?: boolean } = {}) => {
-  const keys = new Map<string, { v: unknown; stamp: number }>()
-  let epoch = 0
-  const trouble = Effect.fail(new StateTrouble({ outcome: "refused", status: 503 }))
-  const state = {
-    get: (path: string) =>
-      options.down === true
-        ? trouble
-        : Effect.sync(() => (keys.has(path) ? { path, ...keys.get(path)! } : null)),
-    multi: (when: Array<{ path: string; stamp: number }>, apply: Array<{ set: string; v: unknown }>) =>
-      options.down === true
-        ? trouble
-        : Effect.sync(() => {
-            const failed = when.filter((c) => (keys.get(c.path)?.stamp ?? 0) !== c.stamp).map((c) => c.path)
-            if (failed.length > 0) return { ok: false, failed }
-            epoch++
-            for (const change of apply) keys.set(change.set, { v: change.v, stamp: epoch })
-            return { ok: true, epoch }
-          }),
-  } as unknown as StateClient
+  const live = new Map<string, JobRecord>()
+  const finals = new Map<string, "done" | "withdrawn">()
+  const find = (id: string) => {
+    const [status, record] = [finals.get(id), live.get(id)]
+    if (status !== undefined) return { kind: "final", status } as const
+    return record === undefined ? ({ kind: "none" } as const) : ({ kind: "live", record } as const)
+  }
+  const unlessDown = <A>(answer: () => A) =>
+    options.down === true
+      ? Effect.fail(new StateTrouble({ outcome: "refused", status: 503 }))
+      : Effect.sync(answer)
+  const jobs: JobTable = {
+    find: (id) => unlessDown(() => find(id)),
+    accept: (record) =>
+      unlessDown(() => {
+        const { id } = record.request
+        const found = find(id)
+        if (found.kind !== "none") return found
+        live.set(id, record)
+        return { kind: "accepted" } as const
+      }),
+    cancel: (id) =>
+      unlessDown(() => {
+        const found = find(id)
+        if (found.kind === "live") live.set(id, { ...found.record, withdrawn: true })
+        return find(id)
+      }),
+  }
   const platform = {
     facts: {
       zones: ["a"],
@@ -60,26 +69,17 @@
   const desk = {
     ready: () => true,
     catalog: () => (options.catalog === false ? null : new Map([["g8" as TypeName, type]])),
-    jobChanged: () => Effect.void,
-    live: (id: string) =>
-      options.down === true
-        ? trouble
-        : Effect.sync(() => {
-            const entry = keys.get(`s/job/${id}`)
-            return entry === undefined ? null : { record: entry.v as JobRecord, stamp: entry.stamp as Stamp }
-          }),
-    final: () => null,
-    remember: () => {},
+    jobs,
     counts: () => ({ done: 1, running: 2 }),
     report: () => Effect.succeed({ status: 200, body: {} }),
   }
   const time = { moment: () => performance.now() as Moment, wall: () => Date.now() as WallTime }
-  const api = new Api(platform, defaultOperators(), state, desk, time)
+  const api = new Api(platform, defaultOperators(), desk, time)
   const ask = (method: string, path: string, body: unknown = ""): Promise<Outgoing> =>
     Effect.runPromise(
       api.handle({ method, path, body: typeof body === "string" ? body : JSON.stringify(body) }),
     )
-  return { ask, keys, submit: (body: unknown) => ask("POST", "/v1/jobs", body) }
+  return { ask, finals, submit: (body: unknown) => ask("POST", "/v1/jobs", body) }
 }
 const status = async (answer: Promise<Outgoing>) => (await answer).status
 
@@ -166,14 +166,14 @@
 })
 
 test("a cancelled job stays cancelled; a done one is answered done", async () => {
-  const { ask, keys, submit } = harness()
+  const { ask, finals, submit } = harness()
   await submit(good)
   assert.deepEqual((await ask("POST", `/v1/jobs/${good.id}/cancel`)).body, {
     id: good.id,
     status: "withdrawn",
   })
   assert.deepEqual((await submit(good)).body, { id: good.id, status: "withdrawn" })
-  keys.set("final/run-000500", { v: { status: "done" }, stamp: 9 })
+  finals.set("run-000500", "done")
   assert.deepEqual((await ask("POST", "/v1/jobs/run-000500/cancel")).body, {
     id: "run-000500",
     status: "done",
--- a/packages/controller/src/commits.ts
+++ b/packages/controller/src/commits.ts
@@ -1,13 +1,6 @@
 import { type Draft, type JobState, Ledger, type Placement } from "@sorreltally/jobs"
 import type { Membership } from "@sorreltally/membership"
-import {
-  type Change,
-  type Condition,
-  type FinalRecord,
-  keys,
-  type SlotRecord,
-  type StateClient,
-} from "@sorreltally/state"
+import { type Change, type Condition, keys, type SlotRecord, type StateClient } from "@sorreltally/state"
 import { ABSENT, later, type Moment, NEVER, type PartName, type Stamp } from "@sorreltally/wire"
 import { Effect, Result } from "effect"
 import { Signal } from "./signal.ts"
@@ -29,18 +22,23 @@
 export interface CommitEvents {
   /** These placements may be started now. */
   readonly durable: (placements: ReadonlyArray<Placement>) => void
-  readonly ended: (jobs: ReadonlyArray<JobState>, stamp: Stamp) => void
   /** A placement that won't become durable: its job was cancelled meanwhile. */
   readonly unwanted: (placement: Placement) => void
 }
 
-/** Writes down what became of one part's jobs: starts at once, ends next, finishes by the way. */
+/** The pages of the job table that hold these jobs, as they were when the jobs were last heard of. */
+export const pageConditions = (jobs: Iterable<JobState>): ReadonlyArray<Condition> => {
+  const pages = new Map<string, Stamp>()
+  for (const { page, stamp } of jobs) pages.set(page, stamp)
+  return [...pages].map(([path, stamp]) => ({ path, stamp }))
+}
+
+/** Writes down what became of one part's tasks: starts at once, finishes by the way. */
 export class Commits {
   readonly ledger: Ledger
   private readonly starts = new Set<Placement>()
   private readonly finishing = new Set<JobState>()
   private finishingSince: Moment = NEVER
-  private readonly ended = new Set<JobState>()
   private wroteAt: Moment = NEVER
   private inFlight: ReadonlySet<Placement> = new Set()
   private readonly signal = new Signal()
@@ -65,30 +63,27 @@
   isInFlight(placement: Placement): boolean {
     return this.inFlight.has(placement)
   }
-  /** A task of the job finished or was cleared, or the job was cancelled. */
-  settle(job: JobState): void {
-    if (job.over) return
-    if (job.ended) {
-      this.ended.add(job)
-      this.finishing.delete(job)
+  /** A task of the job finished, and others of it have not. */
+  finished(job: JobState): void {
+    if (job.unsaved.size === 0 || this.finishing.has(job)) return
+    if (this.finishing.size === 0) {
+      this.finishingSince = this.now()
       this.signal.notify()
-    } else if (job.unsaved.size > 0 && !this.finishing.has(job)) {
-      if (this.finishing.size === 0) {
-        this.finishingSince = this.now()
-        this.signal.notify()
-      }
-      this.finishing.add(job)
     }
+    this.finishing.add(job)
+  }
+  /** The job's end says all that its finishes would. */
+  ended(job: JobState): void {
+    this.finishing.delete(job)
   }
 
   readonly run: Effect.Effect<never> = Effect.suspend(() =>
     Effect.forever(
       Effect.gen({ self: this }, function* () {
-        if (this.starts.size === 0 && this.ended.size === 0 && !this.finishesDue())
+        if (this.starts.size === 0 && !this.finishesDue())
           yield* this.signal.wait(this.finishing.size > 0 ? TICK_MS : IDLE_MS)
         if (!this.active()) return yield* Effect.sleep(PAUSE_MS)
         if (this.starts.size > 0 || this.finishesDue()) yield* this.writeSlot()
-        if (this.ended.size > 0) yield* this.writeEnds()
       }),
     ),
   )
@@ -128,8 +123,7 @@
   private write(draft: Draft) {
     return Effect.gen({ self: this }, function* () {
       const path = keys.slot(this.part, draft.slot)
-      const when = [this.partCondition, { path, stamp: draft.before }]
-      for (const job of draft.jobs) when.push({ path: keys.job(job.id), stamp: job.stamp })
+      const when = [this.partCondition, { path, stamp: draft.before }, ...pageConditions(draft.jobs)]
       const apply: Array<Change> = [{ set: path, v: draft.record }]
       for (let tries = 0; ; tries++) {
         const done = yield* Effect.result(this.state.multi(when, apply, tries === 0 ? "paid" : 2))
@@ -171,38 +165,4 @@
       else this.events.unwanted(placement)
     }
   }
-
-  private writeEnds() {
-    return Effect.gen({ self: this }, function* () {
-      const most = Math.max(1, Math.floor(this.state.limits.txn_ops / 2))
-      yield* this.state.room(2 * Math.min(most, this.ended.size), 2)
-      const jobs = [...this.ended].slice(0, most)
-      const when = [this.partCondition]
-      const apply: Array<Change> = []
-      for (const job of jobs) {
-        when.push({ path: keys.job(job.id), stamp: job.stamp }, { path: keys.final(job.id), stamp: ABSENT })
-        const status: FinalRecord = { status: job.withdrawn ? "withdrawn" : "done" }
-        apply.push({ set: keys.final(job.id), v: status }, { delete: keys.job(job.id) })
-      }
-      const done = yield* Effect.result(this.state.multi(when, apply, "paid"))
-      if (Result.isSuccess(done) && done.success.ok) return this.over(jobs, done.success.epoch)
-      yield* Effect.sleep(PAUSE_MS)
-      const { freshness, mirror } = this.membership
-      const fresh = yield* Effect.result(freshness.since)
-      if (Result.isFailure(fresh)) return
-      // Only its owner ends a job: what is gone was ended by this very write.
-      this.over(
-        jobs.filter((job) => mirror.get(keys.job(job.id)) === null),
-        mirror.revision as number as Stamp,
-      )
-    })
-  }
-  private over(jobs: ReadonlyArray<JobState>, stamp: Stamp): void {
-    for (const job of jobs) {
-      job.over = true
-      this.ended.delete(job)
-      this.finishing.delete(job)
-    }
-    if (jobs.length > 0) this.events.ended(jobs, stamp)
-  }
 }
--- a/packages/controller/src/context.ts
+++ b/packages/controller/src/context.ts
@@ -3,7 +3,7 @@
 import type { Membership } from "@sorreltally/membership"
 import type { PlannedHire, Wants } from "@sorreltally/planner"
 import type { Operators, Platform } from "@sorreltally/settings"
-import type { StateClient } from "@sorreltally/state"
+import type { StateClient, StateTrouble } from "@sorreltally/state"
 import type {
   Exchange,
   HireName,
@@ -20,6 +20,8 @@
 import type { Estimates } from "./estimates.ts"
 import type { Fleet } from "./fleet.ts"
 import type { InFlight } from "./in-flight.ts"
+import type { JobBook } from "./job-book.ts"
+import type { JobEnd } from "./job-ends.ts"
 
 /** What a part's engine shares with the rest of its node. */
 export interface EngineContext {
@@ -43,8 +45,11 @@
   readonly publish: (part: PartName, wants: Wants) => void
   /** Tells a machine's new owner of it before the watch does. */
   readonly introduce: (to: PartName, id: MachineId, by: Introduction | null) => void
+  readonly jobBook: JobBook
   /** These jobs are over, durably. */
-  readonly ended: (jobs: ReadonlyArray<JobState>) => void
+  readonly ended: (ends: ReadonlyArray<JobEnd>) => void
+  /** Writes a page of the job table anew without the jobs that are over. */
+  readonly foldJobs: (page: string) => Effect.Effect<void, StateTrouble>
   /** Runs an effect beside the engine's loops, for as long as the engine lives. */
   readonly fork: (effect: Effect.Effect<unknown>) => void
 }
--- a/packages/controller/src/controller.ts
+++ b/packages/controller/src/controller.ts
@@ -1,10 +1,9 @@
 import type { CloudClient } from "@sorreltally/cloud"
-import type { JobState } from "@sorreltally/jobs"
 import { DEADLINE, Membership, type PartKeeper, partOf } from "@sorreltally/membership"
 import type { PeerChannel } from "@sorreltally/peers"
 import type { Need, QuotaNeed, Wants } from "@sorreltally/planner"
 import { type Operators, type Platform, sizesOf } from "@sorreltally/settings"
-import { type Entry, type JobRecord, keys, type StateClient, type StateTrouble } from "@sorreltally/state"
+import type { Entry, FinalStatus, StateClient } from "@sorreltally/state"
 import {
   Exchange,
   type HireName,
@@ -34,6 +33,9 @@
 import { Estimates } from "./estimates.ts"
 import { Fleet } from "./fleet.ts"
 import { InFlight } from "./in-flight.ts"
+import { JobBook } from "./job-book.ts"
+import type { JobEnd } from "./job-ends.ts"
+import { JobTable } from "./job-table.ts"
 import { type Load, Relays } from "./relays.ts"
 import { Signal } from "./signal.ts"
 
@@ -48,7 +50,6 @@
 const NO_WANTS: Wants = { needs: [], quotas: [] }
 
 type Counts = readonly [JobId, number, number]
-type Final = "done" | "withdrawn"
 type Introductions = ReadonlyArray<readonly [MachineId, Introduction]>
 /** Final answers kept in memory. */
 const REMEMBERED = 20_000
@@ -58,9 +59,12 @@
   readonly membership: Membership
   readonly fleet: Fleet
   private readonly book: FleetBook
+  private readonly jobBook: JobBook
+  /** Accepts, finds and cancels jobs. */
+  readonly jobTable: JobTable
   private readonly shown = new Map<JobId, { readonly done: number; readonly running: number }>()
-  private readonly finals = new Map<JobId, Final>()
-  private endsToTell: Array<readonly [JobId, Final]> = []
+  private readonly finals = new Map<JobId, FinalStatus>()
+  private endsToTell: Array<readonly [JobId, FinalStatus]> = []
   private readonly engines = new Map<
     PartName,
     { readonly engine: PartEngine; readonly fiber: Fiber.Fiber<unknown> }
@@ -109,8 +113,15 @@
     this.book = new FleetBook(this.membership.mirror)
     const { time_bound_ms } = platform.facts
     this.relays = new Relays(peers, time, time_bound_ms, () => this.well(), state, fork)
-    this.membership.mirror.listen("s/job/", (path, entry) => {
-      if (entry === null) this.shown.delete(path.slice("s/job/".length) as JobId)
+    this.jobBook = new JobBook(this.membership.mirror)
+    this.jobBook.listen((id, job) => {
+      if (job === null) this.shown.delete(id)
+    })
+    this.jobTable = new JobTable(state, this.membership, this.jobBook, {
+      changed: (entry, request) => this.jobChanged(entry, request),
+      remembered: (id) => this.finals.get(id) ?? null,
+      remember: (id, status) => this.remember(id, status),
+      partOf: (request) => this.partOfJob(request),
     })
     this.fleet = new Fleet(
       cloud,
@@ -156,7 +167,9 @@
       wants: (except) => this.wantsOf(except),
       publish: (of, wants) => this.publish(of, wants),
       introduce: (to, id, by) => this.introduce(to, id, by),
-      ended: (jobs) => this.ended(jobs),
+      jobBook: this.jobBook,
+      ended: (ends) => this.ended(ends),
+      foldJobs: (page) => this.jobTable.fold(page),
       nextHire: () =>
         `${this.membership.incarnation() ?? this.platform.node_name}-${++this.hires}` as HireName,
       fork: this.fork,
@@ -249,23 +262,19 @@
 
   // --- how far the jobs are -----------------------------------------------------
 
-  private ended(jobs: ReadonlyArray<JobState>): void {
-    for (const { id, withdrawn } of jobs) {
-      const status = withdrawn ? "withdrawn" : "done"
+  private ended(ends: ReadonlyArray<JobEnd>): void {
+    for (const { id, status } of ends) {
       this.remember(id, status)
       this.endsToTell.push([id, status])
     }
   }
   /** A final answer, once durable, holds for good. */
-  remember(id: JobId, status: Final): void {
+  private remember(id: JobId, status: FinalStatus): void {
     this.finals.set(id, status)
     if (this.finals.size <= REMEMBERED) return
     const oldest = this.finals.keys().next()
     if (oldest.done !== true) this.finals.delete(oldest.value)
   }
-  final(id: JobId): Final | null {
-    return this.finals.get(id) ?? null
-  }
   private tellCounts() {
     return Effect.gen({ self: this }, function* () {
       for (;;) {
@@ -324,8 +333,7 @@
     }
     if (kind === "load") return Effect.sync(() => this.relays.told(from, body as Load))
     if (kind === "job") {
-      const entry = body as { path: string; v: JobRecord; stamp: Stamp }
-      this.membership.mirror.hint(entry)
+      this.membership.mirror.hint(body as Entry)
       return Effect.succeed(true)
     }
     if (kind === "wants") {
@@ -344,7 +352,10 @@
       return Effect.succeed(true)
     }
     if (kind === "counts") {
-      const { counts, ends } = body as { counts: ReadonlyArray<Counts>; ends: ReadonlyArray<[JobId, Final]> }
+      const { counts, ends } = body as {
+        counts: ReadonlyArray<Counts>
+        ends: ReadonlyArray<[JobId, FinalStatus]>
+      }
       for (const [id, done, running] of counts) this.shown.set(id, { done, running })
       for (const [id, status] of ends) this.remember(id, status)
       return Effect.succeed(true)
@@ -369,25 +380,16 @@
   }
 
   /** A job was accepted or cancelled: its owner should know before the watch tells it. */
-  jobChanged(path: string, record: JobRecord, stamp: Stamp): Effect.Effect<void> {
+  private jobChanged(entry: Entry, request: JobRequest): Effect.Effect<void> {
     return Effect.suspend(() => {
-      const entry = { path, v: record, stamp }
       this.membership.mirror.hint(entry)
-      const owner = this.ownerOf(record.request)
+      const owner = this.membership.owner(this.partOfJob(request))
       if (owner === null || owner === this.platform.node_name) return Effect.void
       return this.peers.tell("job", entry, owner)
     })
   }
-
-  private ownerOf(request: Pick<JobRequest, "id" | "due_s">): NodeName | null {
-    return this.membership.owner(partOf(request.id, request.due_s != null, this.nodes.length))
-  }
-  /** A live job as of a moment after this was called; null when none of this id is live. */
-  live(id: JobId): Effect.Effect<{ readonly record: JobRecord; readonly stamp: Stamp } | null, StateTrouble> {
-    return Effect.map(this.membership.freshness.since, () => {
-      const entry = this.membership.mirror.get<JobRecord>(keys.job(id))
-      return entry === null ? null : { record: entry.v, stamp: entry.stamp }
-    })
+  private partOfJob({ id, due_s }: JobRequest): PartName {
+    return partOf(id, due_s != null, this.nodes.length)
   }
   /** Tasks done and running, for display. */
   counts(id: JobId): { readonly done: number; readonly running: number } {
--- a/packages/controller/src/engine.ts
+++ b/packages/controller/src/engine.ts
@@ -1,5 +1,5 @@
-import { JobState, type Placement } from "@sorreltally/jobs"
-import { DEADLINE, partOf } from "@sorreltally/membership"
+import type { JobState, Placement } from "@sorreltally/jobs"
+import { DEADLINE } from "@sorreltally/membership"
 import {
   goesFirst,
   type Load,
@@ -14,7 +14,7 @@
   slotsIn,
   type TeamRoom,
 } from "@sorreltally/planner"
-import { type Entry, type JobRecord, keys, type SlotRecord } from "@sorreltally/state"
+import { type Entry, keys } from "@sorreltally/state"
 import {
   type Attempt,
   decodeReport,
@@ -29,8 +29,6 @@
   type PartName,
   type Report,
   type Stamp,
-  splitTaskId,
-  type TaskId,
   type TeamName,
   taskId,
   urgencyRank,
@@ -39,9 +37,9 @@
 import { Effect, Result } from "effect"
 import { Arrivals } from "./arrivals.ts"
 import { BlockWriter } from "./blocks.ts"
-import { Commits } from "./commits.ts"
 import type { EngineContext, PartView, Tenancy } from "./context.ts"
 import { HeldReports } from "./held.ts"
+import { JobRegistry } from "./job-registry.ts"
 import { preempt } from "./preempt.ts"
 import { RENTAL_SIZE, Rentals } from "./rentals.ts"
 import { Shares } from "./shares.ts"
@@ -82,14 +80,13 @@
  * the part is lost.
  */
 export class PartEngine implements PartView {
-  readonly jobs = new Map<JobId, JobState>()
   readonly machines = new Map<MachineId, WorkerSession>()
   readonly tenancies = new Map<MachineId, Tenancy>()
   private readonly inspecting = new Set<MachineId>()
   private readonly planSignal = new Signal()
   private readonly shares: Shares
   private readonly blocks: BlockWriter
-  private readonly commits: Commits
+  private readonly registry: JobRegistry
   private readonly rentals: Rentals
   /** Machines that have something to be told before their next report. */
   private readonly toTell = new Set<WorkerSession>()
@@ -123,10 +120,14 @@
       this.planSignal.notify(),
     )
     this.blocks = new BlockWriter(part, epoch, membership.parts, state, membership, book, time.moment, active)
-    this.commits = new Commits(part, epoch, state, membership, time.moment, active, {
+    this.registry = new JobRegistry(part, epoch, ctx, active, {
       durable: (placements) => this.placed(placements),
-      ended: (jobs, stamp) => this.ended(jobs, stamp),
-      unwanted: (placement) => this.unplace(placement),
+      arrived: (request) => this.arrived(request),
+      changed: () => this.planSignal.notify(),
+      release: (placement) => this.machines.get(placement.machine)?.release(placement),
+      tell: (machine) => this.tell(machine),
+      forgotten: (job) => this.releaseHolder(job),
+      ready: () => this.ready,
     })
     this.rentals = new Rentals(this, this.blocks, active, () => this.over, {
       changed: () => this.planSignal.notify(),
@@ -137,6 +138,9 @@
     })
   }
 
+  get jobs(): ReadonlyMap<JobId, JobState> {
+    return this.registry.jobs
+  }
   get hiring(): PartView["hiring"] {
     return this.rentals.hiring
   }
@@ -156,7 +160,7 @@
   readonly run: Effect.Effect<void> = Effect.suspend(() =>
     Effect.gen({ self: this }, function* () {
       yield* this.takeOver()
-      yield* Effect.all([this.planLoop(), this.commits.run, this.blocks.run, this.rentals.run], {
+      yield* Effect.all([this.planLoop(), this.registry.run, this.blocks.run, this.rentals.run], {
         concurrency: "unbounded",
         discard: true,
       })
@@ -184,12 +188,7 @@
       if (this.over) return
       const now = this.ctx.time.moment()
       for (const entry of book.all()) this.machineChanged(entry.id, entry)
-      for (const entry of mirror.under("s/job/")) this.jobChanged(entry.path, entry)
-      const jobOf = (id: JobId) => this.jobs.get(id) ?? null
-      for (const { path, v, stamp } of entries) {
-        const slot = Number(path.slice(path.lastIndexOf("/") + 1))
-        this.commits.ledger.restore(slot, stamp, v as SlotRecord, jobOf, now)
-      }
+      this.registry.restore(entries)
       for (const job of this.jobs.values()) {
         for (const placement of [...job.placements.values()]) {
           const session = this.machines.get(placement.machine)
@@ -199,10 +198,10 @@
           else session.hold(placement)
           if (job.withdrawn) job.stop(placement, { why: "withdrawn", leewayS: 0, since: now })
         }
-        this.commits.settle(job)
+        this.registry.settle(job)
       }
       this.deaf = [
-        mirror.listen("s/job/", (path, entry) => this.jobChanged(path, entry)),
+        this.ctx.jobBook.listen((id, job) => this.registry.jobChanged(id, job)),
         book.listen((id, entry) => this.machineChanged(id, entry)),
       ]
       this.ready = true
@@ -217,29 +216,6 @@
     })
   }
 
-  private jobChanged(path: string, entry: Entry | null): void {
-    const id = path.slice("s/job/".length) as JobId
-    const known = this.jobs.get(id)
-    if (entry === null) {
-      // Only its owner ends a job: a deletion that we didn't hear the answer of.
-      if (known !== undefined) this.forgetJob(known)
-      return
-    }
-    const record = entry.v as JobRecord
-    if (partOf(id, record.request.due_s != null, this.ctx.nodes) !== this.part) return
-    if (known === undefined) {
-      const job = new JobState(id, record, entry.stamp)
-      this.jobs.set(id, job)
-      this.arrived(record.request)
-      // During a take-over its placements aren't read yet: a cancelled job would seem to have none.
-      if (this.ready && job.ended) this.commits.settle(job)
-      this.planSignal.notify()
-      return
-    }
-    if (entry.stamp > known.stamp) known.stamp = entry.stamp
-    if (record.withdrawn === true && !known.withdrawn) this.withdraw(known)
-  }
-
   private arrived(request: JobRequest): void {
     const within = startTargets(this, request.lane, request.expected_s)[0] ?? null
     let soonestBoot = Number.POSITIVE_INFINITY
@@ -258,27 +234,6 @@
     }
   }
 
-  private withdraw(job: JobState): void {
-    job.withdrawn = true
-    const since = this.ctx.time.moment()
-    for (const placement of [...job.placements.values()]) {
-      if (!placement.durable && !this.commits.isInFlight(placement)) this.unplace(placement)
-      else {
-        job.stop(placement, { why: "withdrawn", leewayS: 0, since })
-        this.tell(placement.machine)
-      }
-    }
-    this.commits.settle(job)
-    this.planSignal.notify()
-  }
-
-  private unplace(placement: Placement): void {
-    this.machines.get(placement.machine)?.release(placement)
-    placement.job.clear(placement)
-    this.commits.settle(placement.job)
-    this.planSignal.notify()
-  }
-
   private machineChanged(id: MachineId, entry: MachineEntry | null): void {
     const session = this.machines.get(id)
     if (entry === null || entry.part !== this.part) {
@@ -360,7 +315,7 @@
     // While its report was held, the machine may have gone, or our right to speak.
     if (!this.ready || !this.active || this.machines.get(session.id) !== session) return NOT_OURS
     const now = this.ctx.time.moment()
-    const orders = session.orders(now, (task) => this.finishIsDurable(task))
+    const orders = session.orders(now, (task) => this.registry.finishIsDurable(task))
     session.answering(orders, now)
     this.toTell.delete(session)
     this.afterBody(session)
@@ -394,11 +349,6 @@
     )
   }
 
-  private finishIsDurable(task: TaskId): boolean {
-    const { job, index } = splitTaskId(task)
-    return this.jobs.get(job)?.finishIsDurable(index) ?? true
-  }
-
   private afterBody(session: WorkerSession): void {
     if (session.needsFence() && !this.blocks.isEditing(session.id)) {
       if (session.deafSince !== null)
@@ -448,7 +398,7 @@
           cause: outcome.cause,
         })
       }
-      this.commits.settle(job)
+      this.registry.settle(job)
     }
     if (roomChanged) this.roomChanged()
   }
@@ -484,7 +434,7 @@
       const now = this.ctx.time.moment()
       const { address, tenure, token } = session
       if (session.ordersInFlight || address === null || tenure === null || !this.active) return Effect.void
-      const orders = session.orders(now, (task) => this.finishIsDurable(task))
+      const orders = session.orders(now, (task) => this.registry.finishIsDurable(task))
       if (!orders.some((o) => o.verb !== "forget")) return Effect.void
       session.sending(orders, now)
       const body: OrdersRequest = { baton: token, tenure, orders }
@@ -514,19 +464,8 @@
     this.pushOrders()
   }
 
-  private ended(jobs: ReadonlyArray<JobState>, stamp: Stamp): void {
-    this.ctx.ended(jobs)
-    for (const job of jobs) {
-      this.ctx.membership.mirror.bury(keys.job(job.id), stamp)
-      this.forgetJob(job)
-    }
-  }
-  private forgetJob(job: JobState): void {
-    if (!this.jobs.delete(job.id)) return
-    job.over = true
-    for (const placement of job.placements.values()) this.machines.get(placement.machine)?.release(placement)
+  private releaseHolder(job: JobState): void {
     for (const tenancy of this.tenancies.values()) if (tenancy.holder === job.id) tenancy.holder = null
-    this.planSignal.notify()
   }
 
   // --- planning -------------------------------------------------------------
@@ -678,7 +617,7 @@
     const { id } = session
     const tenancy = this.tenancies.get(id)
     if (tenancy === undefined || tenancy.moving || tenancy.returning || this.blocks.isEditing(id)) return
-    if (!session.empty((task) => this.finishIsDurable(task)) || session.deafSince !== null) return
+    if (!session.empty((task) => this.registry.finishIsDurable(task)) || session.deafSince !== null) return
     if (this.ctx.membership.owner(to) === null) return
     tenancy.moving = true
     tenancy.holder = null
@@ -763,7 +702,7 @@
       }
       job.place(placement)
       session.hold(placement)
-      this.commits.place(placement)
+      this.registry.place(placement)
     }
     for (const [machine, holder] of decided.holders) {
       const tenancy = this.tenancies.get(machine)
@@ -787,7 +726,6 @@
     }
     let queued = 0
     for (const job of this.jobs.values()) queued += job.withdrawn ? 0 : job.queued
-    const { ledger } = this.commits
     this.ctx.log.debug("part status", {
       part: this.part,
       jobs: this.jobs.size,
@@ -795,7 +733,7 @@
       ...states,
       free,
       cores,
-      slots: ledger.size,
+      slots: this.registry.slots,
     })
   }
 
--- /dev/null
+++ b/packages/controller/src/job-book.ts
@@ -0,0 +1,136 @@
+import { EMPTY_PAGE, finalIn, idOf } from "@sorreltally/jobs"
+import type { Mirror } from "@sorreltally/membership"
+import {
+  ENDS_PAGES,
+  type EndsPage,
+  type Entry,
+  type FinalStatus,
+  JOB_PAGES,
+  type JobPage,
+  type JobRecord,
+  keys,
+} from "@sorreltally/state"
+import type { JobId, Stamp } from "@sorreltally/wire"
+
+/** A job that isn't over, and the page that holds it. */
+export interface LiveJob {
+  readonly id: JobId
+  readonly record: JobRecord
+  readonly page: string
+  readonly stamp: Stamp
+}
+/** One page of a bucket, as this node's mirror has it. */
+export interface PageEntry {
+  readonly path: string
+  readonly v: JobPage
+  readonly stamp: Stamp
+}
+/** Null: the job is over. */
+export type JobListener = (id: JobId, job: LiveJob | null) => void
+
+/** Every job on record, job by job: job pages and ends pages as this node's mirror has them. */
+export class JobBook {
+  /** Jobs whose records stand in a page, over or not. */
+  private readonly onRecord = new Map<JobId, LiveJob>()
+  private readonly inPage = new Map<string, ReadonlyArray<JobId>>()
+  private readonly ends = new Map<JobId, FinalStatus>()
+  private readonly inEndsPage = new Map<string, ReadonlyArray<JobId>>()
+  /** Jobs that no ends page names any more while their record still stands here. */
+  private readonly awaitingFold = new Set<JobId>()
+  private readonly listeners = new Set<JobListener>()
+
+  constructor(private readonly mirror: Mirror) {
+    mirror.listen(JOB_PAGES, (path, entry) => this.pageChanged(path, entry))
+    mirror.listen(ENDS_PAGES, (path, entry) => this.endsChanged(path, entry))
+  }
+
+  /** Returns how to stop listening. */
+  listen(listener: JobListener): () => void {
+    this.listeners.add(listener)
+    return () => this.listeners.delete(listener)
+  }
+  *live(): Iterable<LiveJob> {
+    for (const job of this.onRecord.values()) if (!this.ends.has(job.id)) yield job
+  }
+  get(id: JobId): LiveJob | null {
+    return this.ends.has(id) ? null : (this.onRecord.get(id) ?? null)
+  }
+  /** Does a page still hold its record, though it may be over? */
+  isOnRecord(id: JobId): boolean {
+    return this.onRecord.has(id)
+  }
+  /** The page that holds its record. */
+  pageOf(id: JobId): string | null {
+    return this.onRecord.get(id)?.page ?? null
+  }
+  /** How an ends page says that it ended. */
+  endOf(id: JobId): FinalStatus | null {
+    return this.ends.get(id) ?? null
+  }
+  /** The pages of a bucket: there is no gap between them, as none is ever deleted. */
+  pages(bucket: number): ReadonlyArray<PageEntry> {
+    const pages: Array<PageEntry> = []
+    for (;;) {
+      const path = keys.jobPage(bucket, pages.length)
+      const entry = this.mirror.get<JobPage>(path)
+      if (entry === null) return pages
+      pages.push({ path, ...entry })
+    }
+  }
+  /** Its final state, as ends pages or the pages of its bucket tell it. */
+  finalOf(id: JobId, pages: ReadonlyArray<PageEntry>): FinalStatus | null {
+    const end = this.endOf(id)
+    if (end !== null) return end
+    for (const { v } of pages) {
+      const final = finalIn(v, id)
+      if (final !== null) return final
+    }
+    return null
+  }
+
+  private pageChanged(path: string, entry: Entry | null): void {
+    const page = entry === null ? EMPTY_PAGE : (entry.v as JobPage)
+    const before = this.inPage.get(path) ?? []
+    const now = page.jobs.map((job) => job.request.id)
+    this.inPage.set(path, now)
+    for (const record of page.jobs) {
+      const { id } = record.request
+      const job: LiveJob = { id, record, page: path, stamp: entry!.stamp }
+      this.onRecord.set(id, job)
+      if (!this.ends.has(id)) this.tell(id, job)
+    }
+    const left = new Set(now)
+    for (const id of before) {
+      if (left.has(id)) continue
+      this.onRecord.delete(id)
+      if (this.awaitingFold.delete(id)) this.ends.delete(id)
+      else if (!this.ends.has(id)) this.tell(id, null)
+    }
+  }
+  private endsChanged(path: string, entry: Entry | null): void {
+    const page: EndsPage = entry === null ? EMPTY_PAGE : (entry.v as EndsPage)
+    const before = this.inEndsPage.get(path) ?? []
+    const now: Array<JobId> = []
+    for (const digits of page.done) now.push(this.endKnown(idOf(digits), "done"))
+    for (const digits of page.withdrawn) now.push(this.endKnown(idOf(digits), "withdrawn"))
+    this.inEndsPage.set(path, now)
+    const left = new Set(now)
+    for (const id of before) {
+      if (left.has(id)) continue
+      // A full read brings the ends pages before the job pages: an end that its
+      // page doesn't name any more must not bring the job back meanwhile.
+      if (this.onRecord.has(id)) this.awaitingFold.add(id)
+      else this.ends.delete(id)
+    }
+  }
+  private endKnown(id: JobId, status: FinalStatus): JobId {
+    if (!this.ends.has(id)) {
+      this.ends.set(id, status)
+      if (this.onRecord.has(id)) this.tell(id, null)
+    }
+    return id
+  }
+  private tell(id: JobId, job: LiveJob | null): void {
+    for (const listener of this.listeners) listener(id, job)
+  }
+}
--- /dev/null
+++ b/packages/controller/src/job-ends.ts
@@ -0,0 +1,212 @@
+import { digitsOf, finalStateBytes, idOf, type JobState } from "@sorreltally/jobs"
+import type { Membership } from "@sorreltally/membership"
+import {
+  type Condition,
+  type EndsPage,
+  type FinalStatus,
+  keys,
+  type StateClient,
+  type StateTrouble,
+} from "@sorreltally/state"
+import { type JobId, later, type Moment, NEVER, type PartName, type Stamp } from "@sorreltally/wire"
+import { Effect, Result } from "effect"
+import { pageConditions } from "./commits.ts"
+import type { JobBook } from "./job-book.ts"
+import { ENDS_PAGES_A_PART } from "./job-table.ts"
+import { Signal } from "./signal.ts"
+
+/** Ends that come within this time of the last write go together: users hear of an end within 3 s. */
+const SPACING_MS = 800
+const PAUSE_MS = 150
+const IDLE_MS = 5_000
+/** How often it is looked whether ends pages fill up. */
+const FOLD_LOOK_MS = 1_000
+/** From this share on, the owner folds job pages itself instead of leaving that to their next writers. */
+const CROWDED = 0.6
+/** A page is sent to every controller at each write: it isn't made as large as it may be. */
+const MOST_PAGE_BYTES = 3_072
+const FRAME_BYTES = 128
+/** Besides those on job pages: on the part and on the ends page. */
+const OWN_CONDITIONS = 2
+
+export interface JobEnd {
+  readonly id: JobId
+  readonly status: FinalStatus
+}
+export interface JobEndsEvents {
+  /** These jobs are over, durably. */
+  readonly ended: (ends: ReadonlyArray<JobEnd>) => void
+  /** Writes a page of the job table anew without the jobs that are over. */
+  readonly fold: (page: string) => Effect.Effect<void, StateTrouble>
+}
+
+/** An ends page in the making. */
+interface Draft {
+  readonly path: string
+  readonly before: Stamp
+  readonly page: EndsPage
+  /** Its done jobs: the write is conditioned on their pages, lest one is cancelled meanwhile. */
+  readonly done: ReadonlySet<JobState>
+  readonly jobs: ReadonlyArray<JobState>
+}
+interface Room {
+  readonly path: string
+  readonly done: Array<string>
+  readonly withdrawn: Array<string>
+  bytes: number
+}
+
+/**
+ * Writes down the ends of one part's jobs: one put for all that ended of late.
+ * An ends page names jobs until their records are off the job pages; what is
+ * no longer needed goes with the next write.
+ */
+export class JobEnds {
+  private readonly waiting = new Set<JobState>()
+  private readonly signal = new Signal()
+  private wroteAt: Moment = NEVER
+  private readonly pageBytes: number
+
+  constructor(
+    private readonly part: PartName,
+    private readonly epoch: Stamp,
+    private readonly state: StateClient,
+    private readonly membership: Pick<Membership, "mirror" | "freshness">,
+    private readonly book: JobBook,
+    private readonly now: () => Moment,
+    private readonly active: () => boolean,
+    private readonly events: JobEndsEvents,
+  ) {
+    this.pageBytes = Math.min(state.limits.value_kb * 1024, MOST_PAGE_BYTES) - FRAME_BYTES
+  }
+
+  /** Nothing is left to do for the job but to write its end down. */
+  add(job: JobState): void {
+    this.waiting.add(job)
+    this.signal.notify()
+  }
+
+  readonly run: Effect.Effect<void> = Effect.suspend(() =>
+    Effect.all([this.writeLoop(), this.foldLoop()], { concurrency: "unbounded", discard: true }),
+  )
+
+  private writeLoop() {
+    return Effect.forever(
+      Effect.gen({ self: this }, function* () {
+        if (this.waiting.size === 0) yield* this.signal.wait(IDLE_MS)
+        if (!this.active()) return yield* Effect.sleep(PAUSE_MS)
+        if (this.waiting.size > 0) yield* this.write()
+      }),
+    )
+  }
+
+  private write() {
+    return Effect.gen({ self: this }, function* () {
+      const pauseMs = later(this.wroteAt, SPACING_MS) - this.now()
+      if (pauseMs > 0) yield* Effect.sleep(pauseMs)
+      yield* this.state.room(1, 2)
+      this.wroteAt = this.now()
+      // What a watch or a hint has told of since is over already.
+      for (const job of this.waiting) if (job.over) this.waiting.delete(job)
+      const draft = this.draft()
+      if (draft === null) return yield* Effect.sleep(PAUSE_MS)
+      const { path, before, page } = draft
+      const when: Array<Condition> = [
+        { path: keys.part(this.part), stamp: this.epoch },
+        { path, stamp: before },
+        ...pageConditions(draft.done),
+      ]
+      const written = yield* Effect.result(this.state.multi(when, [{ set: path, v: page }], "paid"))
+      const { mirror, freshness } = this.membership
+      if (Result.isSuccess(written) && written.success.ok) {
+        mirror.hint({ path, v: page, stamp: written.success.epoch })
+      } else {
+        // Without an answer it may have been written, or may be later: as the
+        // page's stamp is a condition, this one or the next succeeds, not both.
+        yield* Effect.sleep(PAUSE_MS)
+        const fresh = yield* Effect.result(freshness.since)
+        if (Result.isFailure(fresh)) return
+      }
+      this.settle(draft.jobs)
+    })
+  }
+
+  /** Those whose end is on record, by whichever write. */
+  private settle(jobs: ReadonlyArray<JobState>): void {
+    const ends: Array<JobEnd> = []
+    for (const job of jobs) {
+      const status = this.book.endOf(job.id)
+      if (status === null) continue
+      this.waiting.delete(job)
+      ends.push({ id: job.id, status })
+    }
+    if (ends.length > 0) this.events.ended(ends)
+  }
+
+  private draft(): Draft | null {
+    const room = this.rooms().reduce((a, b) => (b.bytes < a.bytes ? b : a))
+    const done = new Set<JobState>()
+    const jobs: Array<JobState> = []
+    const most = 4 * this.state.limits.txn_ops - OWN_CONDITIONS
+    for (const job of this.waiting) {
+      const digits = digitsOf(job.id)
+      if (room.bytes + finalStateBytes(digits) > this.pageBytes) break
+      if (!job.withdrawn && done.size >= most) continue
+      room.bytes += finalStateBytes(digits)
+      jobs.push(job)
+      if (job.withdrawn) room.withdrawn.push(digits)
+      else {
+        room.done.push(digits)
+        done.add(job)
+      }
+    }
+    if (jobs.length === 0) return null
+    const { path } = room
+    const page: EndsPage = { done: room.done, withdrawn: room.withdrawn }
+    return { path, before: this.membership.mirror.stamp(path), page, done, jobs }
+  }
+  /** The part's ends pages, as far as they are still needed. */
+  private rooms(): ReadonlyArray<Room> {
+    // An end is needed as long as the job's record stands in its page: without it, the job would seem to live.
+    const needed = (digits: string) => this.book.isOnRecord(idOf(digits))
+    return Array.from({ length: ENDS_PAGES_A_PART }, (_, n) => {
+      const path = keys.endsPage(this.part, n)
+      const page = this.membership.mirror.get<EndsPage>(path)?.v
+      const done = (page?.done ?? []).filter(needed)
+      const withdrawn = (page?.withdrawn ?? []).filter(needed)
+      let bytes = 0
+      for (const digits of [...done, ...withdrawn]) bytes += finalStateBytes(digits)
+      return { path, done, withdrawn, bytes }
+    })
+  }
+
+  private foldLoop() {
+    return Effect.forever(
+      Effect.gen({ self: this }, function* () {
+        yield* Effect.sleep(FOLD_LOOK_MS)
+        for (;;) {
+          const page = this.active() ? this.toFold() : null
+          if (page === null) return
+          const folded = yield* Effect.result(this.events.fold(page))
+          if (Result.isFailure(folded)) return
+        }
+      }),
+    )
+  }
+  /** A job page to be freed of its jobs that are over; null while there is room enough. */
+  private toFold(): string | null {
+    const rooms = this.rooms()
+    const bytes = rooms.reduce((sum, room) => sum + room.bytes, 0)
+    if (bytes < CROWDED * ENDS_PAGES_A_PART * this.pageBytes) return null
+    const counts = new Map<string, number>()
+    for (const digits of rooms.flatMap(({ done, withdrawn }) => [...done, ...withdrawn])) {
+      const page = this.book.pageOf(idOf(digits))
+      if (page !== null) counts.set(page, (counts.get(page) ?? 0) + 1)
+    }
+    let fullest: string | null = null
+    for (const [page, count] of counts) {
+      if (fullest === null || count > counts.get(fullest)!) fullest = page
+    }
+    return fullest
+  }
+}
--- /dev/null
+++ b/packages/controller/src/job-registry.ts
@@ -0,0 +1,150 @@
+import { JobState, type Placement } from "@sorreltally/jobs"
+import { partOf } from "@sorreltally/membership"
+import type { Entry, SlotRecord } from "@sorreltally/state"
+import {
+  type JobId,
+  type JobRequest,
+  type MachineId,
+  type Moment,
+  type PartName,
+  type Stamp,
+  splitTaskId,
+  type TaskId,
+} from "@sorreltally/wire"
+import { Effect } from "effect"
+import { Commits } from "./commits.ts"
+import type { EngineContext } from "./context.ts"
+import type { LiveJob } from "./job-book.ts"
+import { JobEnds } from "./job-ends.ts"
+
+export interface JobRegistryEvents {
+  /** These placements may be started now. */
+  readonly durable: (placements: ReadonlyArray<Placement>) => void
+  readonly arrived: (request: JobRequest) => void
+  /** There may be something to plan. */
+  readonly changed: () => void
+  /** The task is off this machine, or never got there. */
+  readonly release: (placement: Placement) => void
+  /** Its worker has something to be told. */
+  readonly tell: (machine: MachineId) => void
+  /** The job is over; nothing of it is left. */
+  readonly forgotten: (job: JobState) => void
+  /** Is the take-over complete? */
+  readonly ready: () => boolean
+}
+
+/** One part's jobs, from their acceptance or a take-over to their end. */
+export class JobRegistry {
+  readonly jobs = new Map<JobId, JobState>()
+  private readonly commits: Commits
+  private readonly ends: JobEnds
+  private readonly now: () => Moment
+
+  constructor(
+    private readonly part: PartName,
+    epoch: Stamp,
+    private readonly ctx: EngineContext,
+    active: () => boolean,
+    private readonly events: JobRegistryEvents,
+  ) {
+    const { state, membership, time, jobBook } = ctx
+    this.now = time.moment
+    this.commits = new Commits(part, epoch, state, membership, time.moment, active, {
+      durable: events.durable,
+      unwanted: (placement) => this.unplace(placement),
+    })
+    this.ends = new JobEnds(part, epoch, state, membership, jobBook, time.moment, active, {
+      ended: (ends) => ctx.ended(ends),
+      fold: (page) => ctx.foldJobs(page),
+    })
+  }
+
+  get slots(): number {
+    return this.commits.ledger.size
+  }
+  readonly run: Effect.Effect<void> = Effect.suspend(() =>
+    Effect.all([this.commits.run, this.ends.run], { concurrency: "unbounded", discard: true }),
+  )
+
+  /** Takes over what a former owner left: the jobs on record, and what its slots say of their tasks. */
+  restore(slots: ReadonlyArray<Entry>): void {
+    for (const job of this.ctx.jobBook.live()) this.jobChanged(job.id, job)
+    const jobOf = (id: JobId) => this.jobs.get(id) ?? null
+    const now = this.now()
+    for (const { path, v, stamp } of slots) {
+      const slot = Number(path.slice(path.lastIndexOf("/") + 1))
+      this.commits.ledger.restore(slot, stamp, v as SlotRecord, jobOf, now)
+    }
+  }
+
+  place(placement: Placement): void {
+    this.commits.place(placement)
+  }
+
+  /** What the job table says of a job of any part; null: it is over. */
+  jobChanged(id: JobId, entry: LiveJob | null): void {
+    const known = this.jobs.get(id)
+    if (entry === null) {
+      // Only its owner ends a job: by a write of ours, or one that we didn't hear the answer of.
+      if (known !== undefined) this.forget(known)
+      return
+    }
+    const { record, page, stamp } = entry
+    if (partOf(id, record.request.due_s != null, this.ctx.nodes) !== this.part) return
+    if (known === undefined) {
+      const job = new JobState(id, record, page, stamp)
+      this.jobs.set(id, job)
+      this.events.arrived(record.request)
+      // During a take-over its placements aren't read yet: a cancelled job would seem to have none.
+      if (this.events.ready() && job.ended) this.settle(job)
+      this.events.changed()
+      return
+    }
+    if (stamp > known.stamp) known.stamp = stamp
+    if (record.withdrawn === true && !known.withdrawn) this.withdraw(known)
+  }
+
+  /** A task of the job finished or was cleared, or the job was cancelled. */
+  settle(job: JobState): void {
+    if (job.over) return
+    if (!job.ended) return this.commits.finished(job)
+    this.commits.ended(job)
+    this.ends.add(job)
+  }
+
+  /** A finished task whose result the worker may forget. */
+  finishIsDurable(task: TaskId): boolean {
+    const { job, index } = splitTaskId(task)
+    return this.jobs.get(job)?.finishIsDurable(index) ?? true
+  }
+
+  private withdraw(job: JobState): void {
+    job.withdrawn = true
+    const since = this.now()
+    for (const placement of [...job.placements.values()]) {
+      if (!placement.durable && !this.commits.isInFlight(placement)) this.unplace(placement)
+      else {
+        job.stop(placement, { why: "withdrawn", leewayS: 0, since })
+        this.events.tell(placement.machine)
+      }
+    }
+    this.settle(job)
+    this.events.changed()
+  }
+
+  private unplace(placement: Placement): void {
+    this.events.release(placement)
+    placement.job.clear(placement)
+    this.settle(placement.job)
+    this.events.changed()
+  }
+
+  private forget(job: JobState): void {
+    if (!this.jobs.delete(job.id)) return
+    job.over = true
+    this.commits.ended(job)
+    for (const placement of job.placements.values()) this.events.release(placement)
+    this.events.forgotten(job)
+    this.events.changed()
+  }
+}
--- a/packages/controller/test/commits.test.ts
+++ b/packages/controller/test/commits.test.ts
@@ -10,7 +10,12 @@
 
 const PIECES = 80
 const request = { id: "run-000001", pieces: PIECES, cores: 1, accelerators: 0, mem_gb: 1, bundle: "img" }
-const job = new JobState("run-000001" as JobId, { request, submitted: 0 } as unknown as JobRecord, 1 as Stamp)
+const job = new JobState(
+  "run-000001" as JobId,
+  { request, submitted: 0 } as unknown as JobRecord,
+  "s/job/1.0",
+  1 as Stamp,
+)
 const place = (index: number): Placement => {
   const placement: Placement = {
     job,
@@ -41,7 +46,7 @@
     multi: (_: unknown, apply: ReadonlyArray<{ readonly v: (typeof writes)[number] }>) =>
       Effect.sync(() => {
         writes.push(apply[0]!.v)
-        return refuses ? { ok: false, failed: ["s/job/run-000001"] } : { ok: true, epoch: ++stamp }
+        return refuses ? { ok: false, failed: ["s/job/1.0"] } : { ok: true, epoch: ++stamp }
       }),
   } as unknown as StateClient
   const membership = { freshness: { since: Effect.void }, mirror: {} } as unknown as Membership
@@ -53,7 +58,7 @@
     membership,
     () => performance.now() as Moment,
     () => true,
-    { durable: () => {}, ended: () => {}, unwanted: (p) => unwanted.push(p) },
+    { durable: () => {}, unwanted: (p) => unwanted.push(p) },
   )
   const fiber = Effect.runFork(commits.run)
   const until = async (so: () => boolean) => {
--- a/packages/daemon/src/node.ts
+++ b/packages/daemon/src/node.ts
@@ -55,13 +55,10 @@
     const desk = {
       ready,
       catalog: () => controller.catalog(),
-      jobChanged: controller.jobChanged.bind(controller),
-      live: controller.live.bind(controller),
-      final: controller.final.bind(controller),
-      remember: controller.remember.bind(controller),
+      jobs: controller.jobTable,
       counts: controller.counts.bind(controller),
       report: controller.report.bind(controller),
     }
-    const api = new Api(platform, operators, state, desk, time)
+    const api = new Api(platform, operators, desk, time)
     return { handle: (request) => api.handle(request), run: controller.run }
   })
--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -1,2 +1,3 @@
 export * from "./job.ts"
+export * from "./job-pages.ts"
 export * from "./ledger.ts"
--- a/packages/jobs/src/job.ts
+++ b/packages/jobs/src/job.ts
@@ -61,6 +61,8 @@
   constructor(
     readonly id: JobId,
     record: JobRecord,
+    /** The page of the job table that holds its record, and that page's last change. */
+    readonly page: string,
     public stamp: Stamp,
   ) {
     this.request = record.request
--- a/packages/membership/src/parts.ts
+++ b/packages/membership/src/parts.ts
@@ -1,4 +1,4 @@
-import type { JobId, NodeName, PartName } from "@sorreltally/wire"
+import { hashText, type JobId, type NodeName, type PartName } from "@sorreltally/wire"
 
 /** Its owner is the leader. */
 export const DEADLINE = "deadline" as PartName
@@ -9,15 +9,8 @@
   ...nodes.map((_, index) => partAt(index)),
 ]
 
-/** FNV-1a; any even spread will do, as long as every version of the program agrees on it. */
-const hash = (text: string): number => {
-  let h = 0x811c9dc5
-  for (let i = 0; i < text.length; i++) h = Math.imul(h ^ text.charCodeAt(i), 0x01000193)
-  return h >>> 0
-}
-
 export const partOf = (job: JobId, hasDeadline: boolean, nodes: number): PartName =>
-  hasDeadline ? DEADLINE : partAt(hash(job) % nodes)
+  hasDeadline ? DEADLINE : partAt(hashText(job) % nodes)
 
 /** The node that a part is meant for while all are alive. */
 export const homeOf = (part: PartName, nodes: ReadonlyArray<NodeName>): NodeName | null =>
@@ -36,5 +29,5 @@
   if (living.length === 0) return null
   const home = homeOf(part, nodes)
   if (home !== null && alive.has(home)) return home
-  return living[hash(part) % living.length] ?? null
+  return living[hashText(part) % living.length] ?? null
 }
--- a/packages/state/src/records.ts
+++ b/packages/state/src/records.ts
@@ -20,14 +20,19 @@
  * placements are read by their owner alone and lie outside of it.
  */
 export const MIRRORED = "s/"
+export const JOB_PAGES = "s/job/"
+export const ENDS_PAGES = "s/ends/"
 export const keys = {
   live: (node: NodeName) => `s/live/${node}`,
   part: (part: PartName) => `s/part/${part}`,
   block: (origin: string, n: number) => `s/block/${origin}.${String(n).padStart(9, "0")}`,
-  job: (id: string) => `s/job/${id}`,
+  jobPage: (bucket: number, page: number) => `s/job/${bucket}.${page}`,
+  endsPage: (part: PartName, page: number) => `s/ends/${part}.${page}`,
   quota: (team: string) => `s/quota/${team}`,
   catalog: "s/catalog",
-  final: (id: string) => `final/${id}`,
+  archive: (bucket: number) => `final/${bucket}/`,
+  archivePage: (bucket: number, page: number, n: number) =>
+    `final/${bucket}/${page}.${String(n).padStart(6, "0")}`,
   slots: (part: PartName) => `place/${part}/`,
   slot: (part: PartName, slot: number) => `place/${part}/${String(slot).padStart(6, "0")}`,
 }
@@ -65,10 +70,30 @@
 })
 export type JobRecord = typeof JobRecord.Type
 
-export interface FinalRecord {
-  readonly status: "done" | "withdrawn"
+export type FinalStatus = "done" | "withdrawn"
+
+/** Jobs that are over, each as the digits of its id. */
+export interface FinalStates {
+  readonly done: ReadonlyArray<string>
+  readonly withdrawn: ReadonlyArray<string>
 }
 
+/**
+ * Jobs whose ids fall into one bucket: those accepted and not yet folded, and
+ * the final states of earlier ones. Any controller writes it, on its stamp.
+ */
+export interface JobPage extends FinalStates {
+  readonly jobs: ReadonlyArray<JobRecord>
+  /** How many archive pages this page's older final states were moved to. */
+  readonly archived: number
+}
+
+/** Ends of one part's jobs that job pages don't show yet; written by the part's owner. */
+export type EndsPage = FinalStates
+
+/** Final states moved out of a job page; written once, together with that page. */
+export type ArchivePage = FinalStates
+
 /** Team's limit in CPUs and GPUs, divided among the parts. */
 export const QuotaRecord = Schema.Struct({
   shares: Schema.Record(Schema.String, Schema.Struct({ cpus: Schema.Finite, gpus: Schema.Finite })),
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -1,5 +1,6 @@
 export * from "./cloud.ts"
 export * from "./exchange.ts"
+export * from "./hash.ts"
 export * from "./ids.ts"
 export * from "./jobs.ts"
 export * from "./log.ts"
--- a/packages/workers/test/session.test.ts
+++ b/packages/workers/test/session.test.ts
@@ -48,6 +48,7 @@
   const job = new JobState(
     "run-000001" as JobId,
     { request, submitted: 0 } as unknown as JobRecord,
+    "s/job/1.0",
     1 as Stamp,
   )
   const placement = {
