--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -5,7 +5,6 @@
   answeredInTime,
   Exchange,
   type JobId,
-  type JobRequest,
   type Log,
   type MachineType,
   NoAnswer,
@@ -14,11 +13,13 @@
 } from "@sorreltally/wire"
 import { Effect, Exit, Random } from "effect"
 import { Cloud } from "./cloud.ts"
-import type { Machine } from "./machines.ts"
-import { type Answer, type CutMode, Net, type Request } from "./net.ts"
+import { type Answer, Net, type Request } from "./net.ts"
 import { Rules } from "./rules.ts"
 import { type Process, Sim } from "./sim.ts"
 import { StateService } from "./state.ts"
+import { Troubles } from "./troubles.ts"
+import { UserTroubles } from "./user-troubles.ts"
+import { Users } from "./users.ts"
 
 export interface Setup {
   readonly seed: number
@@ -63,9 +64,11 @@
   readonly rules: Rules
   readonly state: StateService
   readonly cloud: Cloud
+  readonly troubles: Troubles
+  readonly users: Users
+  readonly userTroubles: UserTroubles
   readonly names: ReadonlyArray<NodeName>
   private readonly lives = new Map<NodeName, Life>()
-  readonly jobs: Array<JobId> = []
   readonly logged: Array<string> = []
   private births = 0
   /** Bytes between controllers, the most commands under way at one, the most machines that reported to one last. */
@@ -91,6 +94,9 @@
       times: WORKERS,
       neverBoots: setup.neverBoots,
     })
+    this.users = new Users(this.sim, this.net, this.rules.users, this.names)
+    this.userTroubles = new UserTroubles(this.sim, this.users, this.rules)
+    this.troubles = new Troubles(this)
     for (let i = 0; i < setup.nodes; i++) this.sim.after(i * 150, () => this.start(this.names[i]!))
     const look = () => {
       this.rules.look()
@@ -129,7 +135,7 @@
 
   // --- controllers ------------------------------------------------------------
 
-  private zoneOf(host: string): string | null {
+  zoneOf(host: string): string | null {
     const index = this.names.indexOf(host as NodeName)
     if (index >= 0) return this.setup.zones[index % this.setup.zones.length]!
     return this.cloud.machines.get(host)?.zone ?? null
@@ -243,173 +249,12 @@
     if (at === null) life.process.freeze(ms)
     else life.freezeAt = { at, ms }
   }
-  /** One zone apart from everything outside of it. */
-  cutZone(zone: string, forMs: number, mode: CutMode): void {
-    const inside = (host: string) => this.zoneOf(host) === zone
-    this.sim.after(
-      forMs,
-      this.net.cut((a, b) => inside(a) && !inside(b), mode),
-    )
-  }
-  /** Controllers can't connect to each other. */
-  refusePeers(forMs: number): void {
-    const nodes = new Set<string>(this.names)
-    this.sim.after(
-      forMs,
-      this.net.cut((a, b) => nodes.has(a) && nodes.has(b), "reset"),
-    )
-  }
-  /** Machines stop with all that is on them; the list says so much later. */
-  die(count: number): void {
-    for (const machine of this.someMachines(count)) machine.die()
-  }
 
-  running(): ReadonlyArray<Machine> {
-    return [...this.cloud.machines.values()].filter((m) => m.status === "running" && !m.gone)
-  }
-  someMachines(count: number): ReadonlyArray<Machine> {
-    const from = [...this.running()]
-    const out: Array<Machine> = []
-    while (out.length < count && from.length > 0) {
-      out.push(...from.splice(Math.floor(this.sim.luck.next() * from.length), 1))
-    }
-    return out
-  }
-  cutMachines(count: number, forMs: number, mode: CutMode): void {
-    const ids = new Set(this.someMachines(count).map((m) => m.id))
-    this.sim.after(
-      forMs,
-      this.net.cut((a) => ids.has(a), mode),
-    )
-  }
-  cutZones(forMs: number, mode: CutMode): void {
-    const [one, two] = this.setup.zones
-    this.sim.after(
-      forMs,
-      this.net.cut((a, b) => this.zoneOf(a) === one && this.zoneOf(b) === two, mode),
-    )
-  }
-  /** One controller apart from the others; everything else reaches it. */
-  cutPeers(node: NodeName, forMs: number): void {
-    const others = new Set<string>(this.names.filter((n) => n !== node))
-    this.sim.after(
-      forMs,
-      this.net.cut((a, b) => a === node && others.has(b), "drop"),
-    )
-  }
-  /** Only the way from controllers to some machines: late `/orders`, while reports go through. */
-  cutOrders(forMs: number): void {
-    const nodes = new Set<string>(this.names)
-    const ids = new Set(this.running().map((m) => m.id))
-    this.sim.after(
-      forMs,
-      this.net.cutOneWay((from, to) => nodes.has(from) && ids.has(to), "hold"),
-    )
-  }
-  /** One controller that its workers and users still reach, without state service and other controllers. */
-  isolate(node: NodeName, forMs: number): void {
-    const lost = new Set<string>(["state", ...this.names.filter((n) => n !== node)])
-    this.sim.after(
-      forMs,
-      this.net.cut((a, b) => a === node && lost.has(b), "drop"),
-    )
-  }
-  /** Machines whose reports arrive, and that hear nothing. */
-  deafen(count: number, forMs: number): void {
-    const ids = new Set(this.someMachines(count).map((m) => m.id))
-    this.sim.after(
-      forMs,
-      this.net.cutOneWay((_, to) => ids.has(to), "drop"),
-    )
-  }
-  reboot(count: number, afterMs: number): void {
-    for (const machine of this.someMachines(count)) machine.reboot(afterMs)
-  }
-  hang(count: number, forMs: number): void {
-    for (const machine of this.someMachines(count)) {
-      machine.hang(true)
-      this.sim.after(forMs, () => machine.hang(false))
-    }
-  }
-  takeSpot(count: number, noticeMs: number): void {
-    for (const machine of this.someMachines(count)) {
-      machine.warningUntil = noticeMs > 0 ? this.sim.now + noticeMs : null
-      if (noticeMs > 0) machine.change()
-      this.sim.after(noticeMs, () => this.cloud.take(machine.id))
-    }
-  }
-
-  // --- users ------------------------------------------------------------------
-
-  private ask(
-    method: string,
-    path: string,
-    body: unknown,
-    done: (status: number, body: unknown, asked: number) => void,
-  ): void {
-    const asked = this.sim.now
-    let over = false
-    const finish = (status: number, answer: unknown) => {
-      if (over) return
-      over = true
-      done(status, answer, asked)
-    }
-    this.sim.after(5_000, () => finish(0, null))
-    this.net.request("users", this.sim.luck.pick(this.names), { method, path, body }, (answer) =>
-      finish(answer?.status ?? 0, answer?.body),
-    )
-  }
-
-  submit(request: JobRequest): void {
-    this.rules.asksToRun(request)
-    this.jobs.push(request.id)
-    const attempt = () =>
-      this.ask("POST", "/v1/jobs", request, (status, body, asked) => {
-        this.rules.answered(request.id, "submit", status, stateOf(body), asked)
-        if (status === 200 || status === 201) this.poll(request.id)
-        else if (status !== 400 && status !== 422) this.sim.after(1_000, attempt)
-      })
-    attempt()
-  }
-  /** A repeated submission, at any later time. */
-  resubmit(id: JobId): void {
-    const request = this.rules.submitted.get(id)!
-    this.ask("POST", "/v1/jobs", request, (status, body, asked) =>
-      this.rules.answered(id, "submit", status, stateOf(body), asked),
-    )
-  }
-  private poll(id: JobId): void {
-    const again = () => {
-      this.ask("GET", `/v1/jobs/${id}`, null, (status, body, asked) => {
-        this.rules.answered(id, "poll", status, stateOf(body), asked)
-        this.sim.after(5_000, again)
-      })
-    }
-    this.sim.after(this.sim.luck.between(500, 5_000), again)
-  }
-  cancel(id: JobId): void {
-    this.rules.asksToCancel(id)
-    this.ask("POST", `/v1/jobs/${id}/cancel`, {}, (status, body, asked) => {
-      this.rules.answered(id, "cancel", status, stateOf(body), asked)
-      if (status !== 200) this.sim.after(1_000, () => this.cancel(id))
-    })
-  }
-  askAboutNobody(): void {
-    const id = "run-999999"
-    this.ask("GET", `/v1/jobs/${id}`, null, (status, body, asked) =>
-      this.rules.answered(id, "poll", status, stateOf(body), asked),
-    )
-  }
   /** What the state service holds of a job, for a look from outside. */
   stored(id: JobId): string {
     const of = [...this.state.keys].filter(([path]) => path.includes(id) || path.startsWith("s/quota/"))
     return JSON.stringify(of.map(([path, { v }]) => [path, v]))
   }
-  counts(): { readonly done: number; readonly withdrawn: number; readonly jobs: number } {
-    const states = this.jobs.map((id) => this.rules.state(id))
-    const done = states.filter((s) => s === "done").length
-    return { done, withdrawn: states.filter((s) => s === "withdrawn").length, jobs: this.jobs.length }
-  }
 }
 
 const sendingOf = ({ path, body }: Request): Sending | null => {
@@ -419,7 +264,6 @@
   const { apply } = body as { apply: ReadonlyArray<{ readonly set?: string }> }
   return apply.some(({ set }) => set?.startsWith("s/part/") === true) ? "take-over" : "transaction"
 }
-const stateOf = (body: unknown): string | null => (body as { status?: string } | null)?.status ?? null
 
 const machineType = (
   name: string,
