--- a/packages/controller/src/commits.ts
+++ b/packages/controller/src/commits.ts
@@ -1,5 +1,6 @@
 import { type Draft, type JobState, Ledger, type Placement } from "@sorreltally/jobs"
 import type { Membership } from "@sorreltally/membership"
+import { byLoad } from "@sorreltally/pacing"
 import { type Change, type Condition, keys, type SlotRecord, type StateClient } from "@sorreltally/state"
 import { ABSENT, later, type Moment, NEVER, type PartName, type Stamp } from "@sorreltally/wire"
 import { Effect, Result } from "effect"
@@ -16,8 +17,12 @@
  */
 const FINISHES_WAIT_MS = 2_000
 
-/** Share of the state service's changes that one part's slots may use. */
-const SLOT_SHARE = 0.3
+/**
+ * Share of the state service's changes that one part's slots may use: where
+ * many small jobs come, starts wait a little so that more of them go together.
+ */
+const CALM_SLOT_SHARE = 0.3
+const BUSY_SLOT_SHARE = 0.12
 
 export interface CommitEvents {
   /** These placements may be started now. */
@@ -100,7 +105,8 @@
   private writeSlot() {
     return Effect.gen({ self: this }, function* () {
       // What becomes ready while this waits for its turn goes along.
-      const pauseMs = later(this.wroteAt, 1000 / (SLOT_SHARE * this.state.limits.write_rps)) - this.now()
+      const share = byLoad(this.state.load(), CALM_SLOT_SHARE, BUSY_SLOT_SHARE)
+      const pauseMs = later(this.wroteAt, 1000 / (share * this.state.limits.write_rps)) - this.now()
       if (pauseMs > 0) yield* Effect.sleep(pauseMs)
       yield* this.state.room(1, 2)
       this.wroteAt = this.now()
--- a/packages/controller/src/job-ends.ts
+++ b/packages/controller/src/job-ends.ts
@@ -1,5 +1,6 @@
 import { digitsOf, finalStateBytes, idOf, type JobState } from "@sorreltally/jobs"
 import type { Membership } from "@sorreltally/membership"
+import { byLoad } from "@sorreltally/pacing"
 import {
   type Condition,
   type EndsPage,
@@ -12,11 +13,12 @@
 import { Effect, Result } from "effect"
 import { pageConditions } from "./commits.ts"
 import type { JobBook } from "./job-book.ts"
-import { ENDS_PAGES_A_PART } from "./job-table.ts"
+import { endsPages } from "./job-table.ts"
 import { Signal } from "./signal.ts"
 
-/** Ends that come within this time of the last write go together: users hear of an end within 3 s. */
-const SPACING_MS = 800
+/** Ends that come within this time of the last write go together: users expect to hear of one within 3 s. */
+const CALM_SPACING_MS = 500
+const BUSY_SPACING_MS = 1_300
 const PAUSE_MS = 150
 const IDLE_MS = 5_000
 /** How often it is looked whether ends pages fill up. */
@@ -102,7 +104,8 @@
 
   private write() {
     return Effect.gen({ self: this }, function* () {
-      const pauseMs = later(this.wroteAt, SPACING_MS) - this.now()
+      const spacingMs = byLoad(this.state.load(), CALM_SPACING_MS, BUSY_SPACING_MS)
+      const pauseMs = later(this.wroteAt, spacingMs) - this.now()
       if (pauseMs > 0) yield* Effect.sleep(pauseMs)
       yield* this.state.room(1, 2)
       this.wroteAt = this.now()
@@ -169,8 +172,7 @@
   private rooms(): ReadonlyArray<Room> {
     // An end is needed as long as the job's record stands in its page: without it, the job would seem to live.
     const needed = (digits: string) => this.book.isOnRecord(idOf(digits))
-    return Array.from({ length: ENDS_PAGES_A_PART }, (_, n) => {
-      const path = keys.endsPage(this.part, n)
+    return endsPages(this.part, this.state.limits).map((path) => {
       const page = this.membership.mirror.get<EndsPage>(path)?.v
       const done = (page?.done ?? []).filter(needed)
       const withdrawn = (page?.withdrawn ?? []).filter(needed)
@@ -197,7 +199,7 @@
   private toFold(): string | null {
     const rooms = this.rooms()
     const bytes = rooms.reduce((sum, room) => sum + room.bytes, 0)
-    if (bytes < CROWDED * ENDS_PAGES_A_PART * this.pageBytes) return null
+    if (bytes < CROWDED * rooms.length * this.pageBytes) return null
     const counts = new Map<string, number>()
     for (const digits of rooms.flatMap(({ done, withdrawn }) => [...done, ...withdrawn])) {
       const page = this.book.pageOf(idOf(digits))
--- a/packages/controller/src/job-table.ts
+++ b/packages/controller/src/job-table.ts
@@ -19,14 +19,24 @@
   type JobRecord,
   keys,
   type StateClient,
+  type StateLimits,
   StateTrouble,
 } from "@sorreltally/state"
 import { ABSENT, type JobId, type JobRequest, type PartName } from "@sorreltally/wire"
 import { Effect } from "effect"
 import type { JobBook, PageEntry } from "./job-book.ts"
 
-/** Ends pages of each part: together they hold the ends that wait to be folded into job pages. */
-export const ENDS_PAGES_A_PART = 4
+/**
+ * The keys of a part's ends pages: together they hold the ends that wait to be
+ * folded into job pages. A cancellation is conditioned on all of them.
+ */
+export const endsPages = (part: PartName, limits: StateLimits): ReadonlyArray<string> => {
+  const conditions = CONDITIONS_A_CHANGE * limits.txn_ops - 1
+  return Array.from({ length: Math.min(ENDS_PAGES_A_PART, conditions) }, (_, n) => keys.endsPage(part, n))
+}
+const ENDS_PAGES_A_PART = 4
+/** Of a transaction, by the protocol. */
+const CONDITIONS_A_CHANGE = 4
 const ARCHIVING_CHANGES = 2
 /** What a write that can't be made is answered with: a state service would say the same. */
 const TOO_LARGE = 413
@@ -197,10 +207,8 @@
     ]
   }
   private endsConditions(part: PartName): ReadonlyArray<Condition> {
-    return Array.from({ length: ENDS_PAGES_A_PART }, (_, n) => {
-      const path = keys.endsPage(part, n)
-      return { path, stamp: this.membership.mirror.stamp(path) }
-    })
+    const { mirror } = this.membership
+    return endsPages(part, this.state.limits).map((path) => ({ path, stamp: mirror.stamp(path) }))
   }
 }
 
--- a/packages/controller/test/commits.test.ts
+++ b/packages/controller/test/commits.test.ts
@@ -42,6 +42,7 @@
   const state = {
     limits: { value_kb: 8, txn_ops: 8, write_rps: 100_000, rps: 100_000 },
     room: () => Effect.void,
+    load: () => 0,
     get: () => Effect.succeed(null),
     multi: (_: unknown, apply: ReadonlyArray<{ readonly v: (typeof writes)[number] }>) =>
       Effect.sync(() => {
--- a/packages/pacing/src/index.ts
+++ b/packages/pacing/src/index.ts
@@ -23,6 +23,15 @@
 /** What all nodes together try to use: the rest is for whoever comes unexpectedly. */
 const HEADROOM = 0.92
 
+/** From the first share of a limit on, batching counts more than delay; from the second on, most. */
+const CALM_LOAD = 0.35
+const BUSY_LOAD = 0.5
+/** A value between one for a calm service and one for a busy one, by how much of its limit is taken. */
+export const byLoad = (load: number, calm: number, busy: number): number => {
+  const share = Math.min(1, Math.max(0, (load - CALM_LOAD) / (BUSY_LOAD - CALM_LOAD)))
+  return calm + share * (busy - calm)
+}
+
 /**
  * A limit on requests a second that all controllers share. Their needs are
  * uneven and nobody deals the limit out: each node takes what it needs, a
@@ -56,6 +65,10 @@
     this.fade(this.now())
     return this.used
   }
+  /** Share of the limit that all nodes together take, as far as this one has heard. */
+  get load(): number {
+    return (this.usage + this.othersUse) / this.limit
+  }
   /** What the other nodes say that they take together: the rest is ours. */
   others(perSecond: number): void {
     this.othersUse = perSecond
--- a/packages/state/src/client.ts
+++ b/packages/state/src/client.ts
@@ -75,6 +75,8 @@
   /** Changes a second that this node made of late; and what the others say of theirs. */
   readonly usage: () => number
   readonly othersUse: (perSecond: number) => void
+  /** Share of the limit on changes that all nodes together take. */
+  readonly load: () => number
 }
 
 const trouble = (reply: Reply) => new StateTrouble({ outcome: "refused", status: reply.status })
@@ -165,6 +167,7 @@
       limits,
       usage: () => pace.usage,
       othersUse: (perSecond) => pace.others(perSecond),
+      load: () => pace.load,
       grant: (ttlMs) =>
         Effect.flatMap(call("POST", "/grants", { ttl_ms: ttlMs }), (reply) =>
           reply.status === 200
--- /dev/null
+++ b/packages/testkit/src/operations.ts
@@ -0,0 +1,42 @@
+import type { JobPage, SlotRecord } from "@sorreltally/state"
+
+/** What a change in the state service is for. */
+export type Operation = "create" | "cancel" | "fold" | "end" | "start" | "finish" | "archive" | "other"
+
+/** Every put and delete that was carried out, by what it was for. */
+export class Operations {
+  readonly count: Record<Operation, number> = {
+    create: 0,
+    cancel: 0,
+    fold: 0,
+    end: 0,
+    start: 0,
+    finish: 0,
+    archive: 0,
+    other: 0,
+  }
+
+  /** `before` and `after`: the key's values; undefined: it doesn't exist. */
+  note(path: string, before: unknown, after: unknown): void {
+    this.count[kindOf(path, before, after)]++
+  }
+  /** All that jobs cost from their submission to their end. */
+  get ofJobs(): number {
+    const { other, ...kinds } = this.count
+    return Object.values(kinds).reduce((sum, count) => sum + count, 0)
+  }
+}
+
+const kindOf = (path: string, before: unknown, after: unknown): Operation => {
+  if (path.startsWith("s/job/")) return pageChange(before as JobPage | undefined, after as JobPage)
+  if (path.startsWith("s/ends/")) return "end"
+  if (path.startsWith("final/")) return "archive"
+  if (path.startsWith("place/")) return (after as SlotRecord).s.length > 0 ? "start" : "finish"
+  return "other"
+}
+const pageChange = (before: JobPage | undefined, after: JobPage): Operation => {
+  const known = new Map(before?.jobs.map((job) => [job.request.id, job]))
+  if (after.jobs.some((job) => !known.has(job.request.id))) return "create"
+  const cancelled = after.jobs.some((job) => job.withdrawn === true && !known.get(job.request.id)?.withdrawn)
+  return cancelled ? "cancel" : "fold"
+}
--- a/packages/testkit/src/state.ts
+++ b/packages/testkit/src/state.ts
@@ -1,4 +1,5 @@
 import type { Net, Request } from "./net.ts"
+import { Operations } from "./operations.ts"
 import type { Sim } from "./sim.ts"
 import { StateFaults } from "./state-faults.ts"
 
@@ -36,6 +37,7 @@
   private down = false
   private readonly refused = new Set<string>()
   readonly faults: StateFaults
+  readonly operations = new Operations()
   /** Requests and changes asked for, and those turned away for being too many. */
   readonly count = { requests: 0, changes: 0, refused: 0 }
   private readonly requests: Bucket
@@ -183,6 +185,7 @@
   }
 
   private change(path: string, entry: Held | null): void {
+    this.operations.note(path, this.keys.get(path)?.v, entry?.v)
     if (entry === null) this.keys.delete(path)
     else this.keys.set(path, entry)
     this.news.push({ epoch: this.epoch, path, entry })
--- a/packages/testkit/src/user-actions.ts
+++ b/packages/testkit/src/user-actions.ts
@@ -45,6 +45,9 @@
       world.sim.after(hangMs, () => machine.hang(false))
     }
   },
+  /** Of the jobs accepted within that time, a share is cancelled a while later. */
+  "cancel-some": (world, args) =>
+    world.userTroubles.cancelSome(number(args, 0, 0.25), seconds(args, 1, 60), seconds(args, 2, 20)),
   "cancel-at-end": (world, args) =>
     world.userTroubles.cancelAtEnds(number(args, 0, 0.3), seconds(args, 1, 60)),
   "odd-requests": (world, args) => world.userTroubles.oddRequests(seconds(args, 0, 60)),
@@ -54,12 +57,18 @@
 userActions["state-mute"] = userActions["lost-answers"]!
 
 /** Verbs of which the service takes no harm: the time until questions have to be answered again doesn't wait for their end. */
-export const HARMLESS: ReadonlySet<string> = new Set(["close-polls", "odd-requests", "cancel-at-end"])
+export const HARMLESS: ReadonlySet<string> = new Set([
+  "close-polls",
+  "odd-requests",
+  "cancel-at-end",
+  "cancel-some",
+])
 
 /** How often something really happened, by its name. */
 const happened = (world: World): Readonly<Record<string, number>> => ({
   ...world.userTroubles.count,
   ...world.state.faults.count,
+  ...world.state.operations.count,
   startsAfterCancellation: world.rules.startsAfterCancellation,
 })
 
@@ -88,6 +97,12 @@
     if (count === undefined) return `nothing is counted as ${args[0]}`
     return count >= number(args, 1, 1) ? null : `${args[0]}: ${count} times, expected ${args[1] ?? 1}`
   },
+  /** Puts and deletes from submission to end, over all jobs. */
+  "operations-a-job-at-most": (world, args) => {
+    const { ofJobs, count } = world.state.operations
+    const each = ofJobs / world.users.jobs.length
+    return each <= number(args, 0, 2) ? null : `${each.toFixed(2)} changes a job: ${JSON.stringify(count)}`
+  },
   "happened-at-most": (world, args) => {
     const count = happened(world)[args[0]!]
     if (count === undefined) return `nothing is counted as ${args[0]}`
--- a/packages/testkit/src/user-troubles.ts
+++ b/packages/testkit/src/user-troubles.ts
@@ -20,6 +20,7 @@
 export class UserTroubles {
   private closePollsUntil = 0
   private cancelAtEnd = { share: 0, until: 0 }
+  private cancelled = { share: 0, until: 0, withinMs: 0 }
   private oddJobs = 0
   readonly count = {
     /** Answers within a moment of an acceptance, a confirmed cancellation, and the end of a job's last task. */
@@ -49,6 +50,7 @@
     this.closePollsUntil = Math.max(this.closePollsUntil, this.sim.now + forMs)
   }
   private told(event: Event, job: JobId): void {
+    if (event === "accepted") this.cancelLater(job)
     if (this.sim.now >= this.closePollsUntil) return
     if (event === "cancelled") return this.askAll(job, () => this.count.closeAfterCancelled++)
     this.askAll(job, () => this.count.closeAfterAccepted++)
@@ -65,6 +67,16 @@
     for (const ms of [1, 20, 90]) this.sim.after(ms, () => this.users.resubmit(job))
   }
 
+  /** That share of the jobs accepted from now on is cancelled within a time. */
+  cancelSome(share: number, forMs: number, withinMs: number): void {
+    this.cancelled = { share, until: this.sim.now + forMs, withinMs }
+  }
+  private cancelLater(job: JobId): void {
+    const { share, until, withinMs } = this.cancelled
+    if (this.sim.now >= until || !this.sim.luck.chance(share)) return
+    this.sim.after(this.sim.luck.between(0, withinMs), () => this.users.cancel(job))
+  }
+
   /** That share of the jobs that end is cancelled as the last task does. */
   cancelAtEnds(share: number, forMs: number): void {
     this.cancelAtEnd = { share, until: this.sim.now + forMs }
