--- a/packages/controller/src/job-book.ts
+++ b/packages/controller/src/job-book.ts
@@ -35,8 +35,6 @@
   private readonly inPage = new Map<string, ReadonlyArray<JobId>>()
   private readonly ends = new Map<JobId, FinalStatus>()
   private readonly inEndsPage = new Map<string, ReadonlyArray<JobId>>()
-  /** Jobs that no ends page names any more while their record still stands here. */
-  private readonly awaitingFold = new Set<JobId>()
   private readonly listeners = new Set<JobListener>()
 
   constructor(private readonly mirror: Mirror) {
@@ -103,8 +101,7 @@
     for (const id of before) {
       if (left.has(id)) continue
       this.onRecord.delete(id)
-      if (this.awaitingFold.delete(id)) this.ends.delete(id)
-      else if (!this.ends.has(id)) this.tell(id, null)
+      if (!this.ends.has(id)) this.tell(id, null)
     }
   }
   private endsChanged(path: string, entry: Entry | null): void {
@@ -114,14 +111,9 @@
     for (const digits of page.done) now.push(this.endKnown(idOf(digits), "done"))
     for (const digits of page.withdrawn) now.push(this.endKnown(idOf(digits), "withdrawn"))
     this.inEndsPage.set(path, now)
+    // An ends page names a job until no job page holds its record.
     const left = new Set(now)
-    for (const id of before) {
-      if (left.has(id)) continue
-      // A full read brings the ends pages before the job pages: an end that its
-      // page doesn't name any more must not bring the job back meanwhile.
-      if (this.onRecord.has(id)) this.awaitingFold.add(id)
-      else this.ends.delete(id)
-    }
+    for (const id of before) if (!left.has(id)) this.ends.delete(id)
   }
   private endKnown(id: JobId, status: FinalStatus): JobId {
     if (!this.ends.has(id)) {
--- a/packages/testkit/src/user-actions.ts
+++ b/packages/testkit/src/user-actions.ts
@@ -45,13 +45,11 @@
       world.sim.after(hangMs, () => machine.hang(false))
     }
   },
-  /** Of the jobs accepted within that time, a share is cancelled a while later. */
-  "cancel-some": (world, args) =>
-    world.userTroubles.cancelSome(number(args, 0, 0.25), seconds(args, 1, 60), seconds(args, 2, 20)),
   "cancel-at-end": (world, args) =>
     world.userTroubles.cancelAtEnds(number(args, 0, 0.3), seconds(args, 1, 60)),
+  "cancel-some": (world, args) => world.userTroubles.cancelSome(number(args, 0, 0.25), seconds(args, 1, 60)),
   "odd-requests": (world, args) => world.userTroubles.oddRequests(seconds(args, 0, 60)),
-  "close-polls": (world, args) => world.userTroubles.closePolls(seconds(args, 0, 60)),
+  "close-polls": (world, args) => world.userTroubles.closePolls(seconds(args, 0, 60), number(args, 1, 0.15)),
 }
 // Its former name.
 userActions["state-mute"] = userActions["lost-answers"]!
