--- a/packages/testkit/src/user-actions.ts
+++ b/packages/testkit/src/user-actions.ts
@@ -64,9 +64,11 @@
 
 /** How often something really happened, by its name. */
 const happened = (world: World): Readonly<Record<string, number>> => ({
+  ...world.sim.occurrences.all(),
   ...world.userTroubles.count,
   ...world.state.faults.count,
   ...world.state.operations.count,
+  ...world.membershipTroubles.count,
   startsAfterCancellation: world.rules.startsAfterCancellation,
 })
 
