--- a/packages/controller/src/job-ends.ts
+++ b/packages/controller/src/job-ends.ts
@@ -21,8 +21,6 @@
 const BUSY_SPACING_MS = 1_300
 const PAUSE_MS = 150
 const IDLE_MS = 5_000
-/** How often it is looked whether ends pages fill up. */
-const FOLD_LOOK_MS = 1_000
 /** From this share on, the owner folds job pages itself instead of leaving that to their next writers. */
 const CROWDED = 0.6
 /** A page is sent to every controller at each write: it isn't made as large as it may be. */
@@ -66,6 +64,8 @@
 export class JobEnds {
   private readonly waiting = new Set<JobState>()
   private readonly signal = new Signal()
+  /** The ends pages hold more than before. */
+  private readonly grew = new Signal()
   private wroteAt: Moment = NEVER
   private readonly pageBytes: number
 
@@ -123,6 +123,7 @@
       const { mirror, freshness } = this.membership
       if (Result.isSuccess(written) && written.success.ok) {
         mirror.hint({ path, v: page, stamp: written.success.epoch })
+        this.grew.notify()
       } else {
         // Without an answer it may have been written, or may be later: as the
         // page's stamp is a condition, this one or the next succeeds, not both.
@@ -185,7 +186,7 @@
   private foldLoop() {
     return Effect.forever(
       Effect.gen({ self: this }, function* () {
-        yield* Effect.sleep(FOLD_LOOK_MS)
+        yield* this.grew.wait(IDLE_MS)
         for (;;) {
           const page = this.active() ? this.toFold() : null
           if (page === null) return
--- a/packages/controller/src/job-table.ts
+++ b/packages/controller/src/job-table.ts
@@ -197,7 +197,7 @@
   /** The page's write, and with it that of final states which leave it. */
   private changes(path: string, next: JobPage): ReadonlyArray<Change & { readonly set: string }> {
     if (this.state.limits.txn_ops < ARCHIVING_CHANGES) return [{ set: path, v: next }]
-    const { page, archived } = archiveFinals(next)
+    const { page, archived } = archiveFinals(next, this.state.limits.value_kb)
     if (archived === null) return [{ set: path, v: page }]
     const [bucket, number] = path.slice(path.lastIndexOf("/") + 1).split(".")
     const archivePath = keys.archivePage(Number(bucket), Number(number), next.archived)
--- a/packages/jobs/src/job-pages.ts
+++ b/packages/jobs/src/job-pages.ts
@@ -14,8 +14,9 @@
  * holds a job or two, and writes of different jobs hardly ever meet.
  */
 export const BUCKETS = 512
-/** Final states beyond this many bytes leave the mirrored page for the archive. */
+/** Final states beyond this many bytes, or this share of a value, leave the mirrored page for the archive. */
 const ARCHIVE_BYTES = 1_024
+const ARCHIVE_SHARE = 0.25
 /** Quotes and comma around an id's digits in JSON. */
 const ID_FRAME_BYTES = 3
 /** For what encodings may add to a value. */
@@ -61,11 +62,12 @@
 /** Moves the final states of a page that holds many of them to an archive page of their own. */
 export const archiveFinals = (
   page: JobPage,
+  valueKb: number,
 ): { readonly page: JobPage; readonly archived: ArchivePage | null } => {
   const { done, withdrawn } = page
   let bytes = 0
   for (const digits of [...done, ...withdrawn]) bytes += finalStateBytes(digits)
-  if (bytes <= ARCHIVE_BYTES) return { page, archived: null }
+  if (bytes <= Math.min(ARCHIVE_BYTES, ARCHIVE_SHARE * valueKb * 1024)) return { page, archived: null }
   return {
     page: { ...page, done: [], withdrawn: [], archived: page.archived + 1 },
     archived: { done, withdrawn },
