--- a/packages/controller/test/job-ends.test.ts
+++ b/packages/controller/test/job-ends.test.ts
@@ -62,6 +62,9 @@
   })
   for (const { id, record, page, stamp } of [...book.live()]) {
     const job = new JobState(id, record, page, stamp)
+    book.listen((changed, entry) => {
+      if (changed === id && entry !== null) job.stamp = entry.stamp
+    })
     job.finish(0)
     ends.add(job)
   }
