--- a/packages/testkit/src/membership-actions.ts
+++ b/packages/testkit/src/membership-actions.ts
@@ -16,7 +16,7 @@
     for (const [i, name] of world.names.entries())
       world.sim.after(i * number(args, 0, 1) * 1000, () => world.crash(name, number(args, 1, 0.3) * 1000))
   },
-  "end-leader": (world, args) => world.crash(world.membershipTroubles.leader(), number(args, 0, 0.3) * 1000),
+  "end-leader": (world, args) => world.membershipTroubles.endLeader(number(args, 0, 0.3) * 1000),
   "state-refuses-leader": (world, args) => {
     const leader = world.membershipTroubles.leader()
     world.state.refuse(leader, true)
--- a/packages/testkit/src/membership-troubles.ts
+++ b/packages/testkit/src/membership-troubles.ts
@@ -32,10 +32,13 @@
     answersWithoutState: 0,
     /** Times that a controller obtained a grant and told so. */
     joins: 0,
+    /** From the ends of leaders that a scenario brought about to the next take-over of their part. */
+    secondsWithoutLeader: 0,
   }
   private cancelAtHandOvers = { perChange: 0, until: 0 }
+  private leaderEndedAt: number | null = null
   private readonly changedAt = new Map<PartName, number>()
-  private readonly formerOwners = new Map<PartName, string | null>()
+  private readonly onRecord = new Map<PartName, PartOnRecord>()
 
   constructor(private readonly world: World) {
     world.state.listeners.push((path, value) => this.changed(path, value))
@@ -43,6 +46,11 @@
       if (event === "cancelled") this.cancelled(job)
     })
   }
+  /** The owner on record still has the live key under which it took the part over. */
+  private stands({ owner, incarnation }: PartOnRecord): boolean {
+    const live = this.world.state.keys.get(`s/live/${owner}`)?.v as { incarnation: string } | undefined
+    return live !== undefined && live.incarnation === incarnation
+  }
 
   /** The controller that owns the leader's part by the record; the first one if none does. */
   leader(): NodeName {
@@ -51,8 +59,11 @@
   }
   /** The leader of the moment ends, again and again. */
   endLeaders(times: number, everyMs: number, backAfterMs: number): void {
-    for (let i = 0; i < times; i++)
-      this.world.sim.after(i * everyMs, () => this.world.crash(this.leader(), backAfterMs))
+    for (let i = 0; i < times; i++) this.world.sim.after(i * everyMs, () => this.endLeader(backAfterMs))
+  }
+  endLeader(backAfterMs: number): void {
+    this.leaderEndedAt ??= this.world.sim.now
+    this.world.crash(this.leader(), backAfterMs)
   }
   /** Some running jobs of each part that changes hands are cancelled in that moment. */
   cancelAtEachHandOver(perChange: number, forMs: number): void {
@@ -69,16 +80,18 @@
     if (path.startsWith("s/part/") && value !== null)
       this.partChanged(path.slice("s/part/".length) as PartName, value as PartOnRecord)
   }
-  private partChanged(part: PartName, { owner, incarnation }: PartOnRecord): void {
+  private partChanged(part: PartName, record: PartOnRecord): void {
     const { sim } = this.world
+    const former = this.onRecord.get(part) ?? { owner: null, incarnation: null }
+    this.onRecord.set(part, record)
     this.changedAt.set(part, sim.now)
-    if (owner === null) {
+    this.checkOneOwner(part, former, record)
+    if (record.owner === null) {
       this.count.handBacks++
     } else {
       this.count.takeOvers++
-      if (part === DEADLINE) this.count.leaderChanges++
-      if (this.formerOwners.get(part) === incarnation) this.count.retaken++
-      this.formerOwners.set(part, incarnation)
+      if (part === DEADLINE) this.leaderChanged()
+      if (former.incarnation === record.incarnation) this.count.retaken++
     }
     const { perChange, until } = this.cancelAtHandOvers
     if (sim.now >= until) return
@@ -86,6 +99,34 @@
     for (const job of jobs.slice(0, perChange))
       sim.after(sim.luck.between(0, CANCEL_WITHIN_MS), () => this.world.users.cancel(job as JobId))
   }
+  private leaderChanged(): void {
+    this.count.leaderChanges++
+    if (this.leaderEndedAt === null) return
+    this.count.secondsWithoutLeader += (this.world.sim.now - this.leaderEndedAt) / 1000
+    this.leaderEndedAt = null
+  }
+  /** A part changes hands when its owner's grant has ended, or the owner has let it go: never before. */
+  private checkOneOwner(part: PartName, former: PartOnRecord, record: PartOnRecord): void {
+    const { rules, sim } = this.world
+    if (former.owner === null || former.incarnation === record.incarnation) return
+    if (!this.stands(former)) return
+    if (record.owner === null && !this.hasTaken(former.owner, part)) return
+    const to = record.owner ?? "nobody"
+    rules.broken.push(
+      `two_owners at ${(sim.now / 1000).toFixed(1)} s: ${part} of ${former.owner} given to ${to}`,
+    )
+  }
+  /** The last that a controller logged of the part is that it has taken it. */
+  private hasTaken(node: NodeName, part: PartName): boolean {
+    const { logged } = this.world
+    for (let i = logged.length - 1; i >= 0; i--) {
+      const line = logged[i]!
+      if (!line.includes(` ${node} info part `) || !line.includes(`{"part":"${part}"`)) continue
+      if (line.includes("part taken")) return true
+      if (line.includes("part lost")) return false
+    }
+    return false
+  }
   private partOf(job: string): PartName {
     const hasDeadline = this.world.rules.submitted.get(job)?.due_s != null
     return partOf(job as JobId, hasDeadline, this.world.names.length)
--- a/packages/testkit/src/scenario.ts
+++ b/packages/testkit/src/scenario.ts
@@ -1,6 +1,7 @@
 import type { JobId, JobRequest } from "@sorreltally/wire"
 import { type Form, parse } from "sexpr-plus"
 import { type Action, type Args, node, number } from "./actions.ts"
+import { epochsOwnedTwice } from "./epoch-rule.ts"
 import { membershipActions } from "./membership-actions.ts"
 import { troubleActions } from "./trouble-actions.ts"
 import { HARMLESS, userActions, userExpectations } from "./user-actions.ts"
@@ -219,6 +220,7 @@
       const failures = [...world.rules.broken.slice(0, 5)]
       if (world.rules.broken.length > 5) failures.push(`… and ${world.rules.broken.length - 5} more`)
       for (const line of world.logged) if (line.includes(" error ")) failures.push(line)
+      failures.push(...epochsOwnedTwice(world.logged))
       for (const wish of wishes) {
         const complaint = wish(world)
         if (complaint !== null) failures.push(complaint)
