--- /dev/null
+++ b/packages/controller/test/job-table.test.ts
@@ -0,0 +1,181 @@
+import assert from "node:assert/strict"
+import { test } from "node:test"
+import { bucketOf, digitsOf } from "@sorreltally/jobs"
+import { Mirror } from "@sorreltally/membership"
+import { type Change, type Condition, type JobRecord, keys, type StateClient } from "@sorreltally/state"
+import type { JobId, PartName, Revision, Stamp } from "@sorreltally/wire"
+import { Effect } from "effect"
+import { JobBook } from "../src/job-book.ts"
+import { type Acceptance, JobTable } from "../src/job-table.ts"
+
+const PART = "part-0" as PartName
+const limits = { value_kb: 2, txn_ops: 8, write_rps: 100, rps: 100 }
+
+/** The keys, and transactions that reach them late. */
+class Store {
+  readonly keys = new Map<string, { readonly v: unknown; readonly stamp: Stamp }>()
+  revision = 0
+  /** Transactions from now on get no answer; what they asked for is kept. */
+  holding = false
+  readonly held: Array<{ readonly when: ReadonlyArray<Condition>; readonly apply: ReadonlyArray<Change> }> =
+    []
+
+  multi(when: ReadonlyArray<Condition>, apply: ReadonlyArray<Change>) {
+    const failed = when.filter((c) => (this.keys.get(c.path)?.stamp ?? 0) !== c.stamp).map((c) => c.path)
+    if (failed.length > 0) return { ok: false, failed } as const
+    this.revision++
+    const stamp = this.revision as Stamp
+    for (const change of apply) if ("set" in change) this.keys.set(change.set, { v: change.v, stamp })
+    return { ok: true, epoch: stamp } as const
+  }
+  readonly client = {
+    limits,
+    multi: (when: ReadonlyArray<Condition>, apply: ReadonlyArray<Change>) =>
+      Effect.suspend(() => {
+        if (!this.holding) return Effect.succeed(this.multi(when, apply))
+        this.held.push({ when, apply })
+        return Effect.never
+      }),
+    list: (prefix: string) =>
+      Effect.sync(() => ({ items: this.under(prefix), epoch: this.revision as Revision })),
+  } as unknown as StateClient
+
+  under(prefix: string) {
+    const all = [...this.keys]
+      .filter(([path]) => path.startsWith(prefix))
+      .sort(([a], [b]) => (a < b ? -1 : 1))
+    return all.map(([path, entry]) => ({ path, ...entry }))
+  }
+}
+
+/** One controller's view of the store. */
+const nodeOf = (store: Store) => {
+  const mirror = new Mirror()
+  const book = new JobBook(mirror)
+  const refresh = () => mirror.reload(store.under("s/"), store.revision as Revision)
+  const freshness = { since: Effect.sync(refresh) } as never
+  const table = new JobTable(store.client, { mirror, freshness }, book, {
+    changed: (entry) => Effect.sync(() => mirror.hint(entry)),
+    remembered: () => null,
+    remember: () => {},
+    partOf: () => PART,
+  })
+  return { mirror, book, table, refresh }
+}
+const run = <A>(effect: Effect.Effect<A, unknown>) => Effect.runPromise(effect as Effect.Effect<A>)
+const jobRecord = (id: string): JobRecord =>
+  ({ request: { id, lane: "l", owner: "o", pieces: 1, cores: 1, due_s: null }, submitted: 0 }) as never
+const idAt = (n: number) => `run-${String(n).padStart(6, "0")}` as JobId
+/** The first ids that fall into one bucket. */
+const sameBucket = (count: number): ReadonlyArray<JobId> => {
+  const ids: Array<JobId> = []
+  for (let n = 1; ids.length < count; n++) if (bucketOf(idAt(n)) === bucketOf(idAt(1))) ids.push(idAt(n))
+  return ids
+}
+/** Writes an end as the part's owner would. */
+const end = (store: Store, ids: ReadonlyArray<JobId>, withdrawn: ReadonlyArray<JobId> = []) =>
+  store.multi(
+    [],
+    [{ set: keys.endsPage(PART, 0), v: { done: ids.map(digitsOf), withdrawn: withdrawn.map(digitsOf) } }],
+  )
+
+test("two nodes that accept the same id at the same moment make one job", async () => {
+  const store = new Store()
+  const [a, b] = [nodeOf(store), nodeOf(store)]
+  const id = idAt(1)
+  const answers = await Promise.all([a, b].map(({ table }) => run(table.accept(jobRecord(id)))))
+  assert.deepEqual(answers.map(({ kind }: Acceptance) => kind).sort(), ["accepted", "live"])
+})
+
+test("an acceptance that comes late, after the job was accepted again and is over, changes nothing", async () => {
+  const store = new Store()
+  const [late, other] = [nodeOf(store), nodeOf(store)]
+  const [id, next] = sameBucket(2) as [JobId, JobId]
+  store.holding = true
+  const waiting = Effect.runFork(late.table.accept(jobRecord(id)))
+  await new Promise((resolve) => setTimeout(resolve, 5))
+  store.holding = false
+  assert.equal((await run(other.table.accept(jobRecord(id)))).kind, "accepted")
+  end(store, [id])
+  other.refresh()
+  assert.equal((await run(other.table.accept(jobRecord(next)))).kind, "accepted")
+  end(store, [])
+  assert.equal(store.held.length, 1)
+  assert.equal(store.multi(store.held[0]!.when, store.held[0]!.apply).ok, false)
+  for (const { table } of [late, other])
+    assert.deepEqual(await run(table.find(id)), { kind: "final", status: "done" })
+  waiting.interruptUnsafe()
+})
+
+test("a cancellation that races the end of its job is answered with the end", async () => {
+  const store = new Store()
+  const node = nodeOf(store)
+  const id = idAt(7)
+  await run(node.table.accept(jobRecord(id)))
+  // The end becomes durable after the cancelling node has read the job as live.
+  const multi = store.client.multi
+  let first = true
+  Object.assign(store.client, {
+    multi: (when: never, apply: never) => {
+      if (first) end(store, [id])
+      first = false
+      return multi(when, apply, 1)
+    },
+  })
+  assert.deepEqual(await run(node.table.cancel(id)), { kind: "final", status: "done" })
+  node.refresh()
+  assert.equal(node.book.get(id), null)
+})
+
+test("final states outgrow the page, and are found in the archive; unknown ids stay unknown", async () => {
+  const store = new Store()
+  const node = nodeOf(store)
+  const ids = sameBucket(260)
+  const [unknown, ...known] = ids as [JobId, ...Array<JobId>]
+  for (const id of known) {
+    assert.equal((await run(node.table.accept(jobRecord(id)))).kind, "accepted")
+    end(store, [id])
+    node.refresh()
+  }
+  const page = keys.jobPage(bucketOf(unknown), 0)
+  assert.ok(store.under(keys.archive(bucketOf(unknown))).length >= 2, "some are archived")
+  assert.ok(JSON.stringify(store.keys.get(page)!.v).length < limits.value_kb * 1024)
+  const newcomer = nodeOf(store)
+  for (const id of known) {
+    assert.deepEqual(await run(newcomer.table.find(id)), { kind: "final", status: "done" }, id)
+    assert.deepEqual(await run(newcomer.table.accept(jobRecord(id))), { kind: "final", status: "done" })
+  }
+  assert.equal((await run(newcomer.table.find(unknown))).kind, "none")
+})
+
+test("more live jobs than a page holds go to further pages, each id once", async () => {
+  const store = new Store()
+  const [a, b] = [nodeOf(store), nodeOf(store)]
+  const ids = sameBucket(30)
+  for (const [n, id] of ids.entries())
+    assert.equal((await run((n % 2 === 0 ? a : b).table.accept(jobRecord(id)))).kind, "accepted")
+  a.refresh()
+  assert.ok(a.book.pages(bucketOf(ids[0]!)).length > 1)
+  for (const id of ids) assert.equal((await run(b.table.accept(jobRecord(id)))).kind, "live")
+  assert.equal([...a.book.live()].length, ids.length)
+})
+
+test("a full read that finds an end no longer named, before the page that holds its final state, revives no job", () => {
+  const store = new Store()
+  const node = nodeOf(store)
+  const id = idAt(3)
+  const path = keys.jobPage(bucketOf(id), 0)
+  store.multi([], [{ set: path, v: { jobs: [jobRecord(id)], done: [], withdrawn: [], archived: 0 } }])
+  end(store, [id])
+  node.refresh()
+  assert.equal(node.book.get(id), null)
+  const revived: Array<JobId> = []
+  node.book.listen((job, entry) => {
+    if (entry !== null) revived.push(job)
+  })
+  store.multi([], [{ set: path, v: { jobs: [], done: [digitsOf(id)], withdrawn: [], archived: 0 } }])
+  end(store, [])
+  node.refresh()
+  assert.deepEqual(revived, [])
+  assert.equal(node.book.finalOf(id, node.book.pages(bucketOf(id))), "done")
+})
--- a/packages/testkit/src/user-actions.ts
+++ b/packages/testkit/src/user-actions.ts
@@ -67,6 +67,7 @@
   ...world.sim.occurrences.all(),
   ...world.userTroubles.count,
   ...world.state.faults.count,
+  ...world.state.operations.count,
   ...world.membershipTroubles.count,
   ...world.limitMeetings.count,
   startsAfterCancellation: world.rules.startsAfterCancellation,
@@ -91,6 +92,12 @@
     const missing = late.filter((job) => largest.has(job))
     return missing.length === 0 ? null : `nothing began within ${args[0]} s of ${missing.join(", ")}`
   },
+  /** Puts and deletes from submission to end, over all jobs. */
+  "operations-a-job-at-most": (world, args) => {
+    const { ofJobs, count } = world.state.operations
+    const each = ofJobs / world.users.jobs.length
+    return each <= number(args, 0, 2) ? null : `${each.toFixed(2)} changes a job: ${JSON.stringify(count)}`
+  },
   "happened-at-most": (world, args) => {
     const count = happened(world)[args[0]!]
     if (count === undefined) return `nothing is counted as ${args[0]}`
