--- a/scenarios/fast-boots.sexp
+++ b/scenarios/fast-boots.sexp
@@ -1,5 +1,5 @@
 (scenario "machines are up within two seconds while writes lag, and their renters end: they are adopted, used and returned"
-  (seed 73) (until 260) (capacity 8) (state-limits 60 10)
+  (seeds 71 72 75 76) (until 260) (capacity 8) (state-limits 60 10)
   (at 0.5 (fast-boots 150 1))
   (at 9.5 (stream 60 12 pieces 1 cores 4 run 5 due 60))
   (at 10 (submit pieces 12 cores 4 run 20 due 100) (submit pieces 8 cores 4 run 20) (submit pieces 8 cores 4 run 20))
--- a/scenarios/held-commands.sexp
+++ b/scenarios/held-commands.sexp
@@ -1,5 +1,5 @@
 (scenario "commands are held up for seconds: a start that got no answer counts until it can't be carried out any more"
-  (seed 81) (until 140) (team-limit 32)
+  (seeds 72 73 74) (until 140) (team-limit 32)
   (at 1 (submit pieces 4 cores 8 run 3 due 12 build small zone a) (submit pieces 4 cores 8 run 3 due 12 build small zone b owner blue))
   (at 19.5 (late-commands 1 5)) (at 20 (submit pieces 4 cores 8 run 40 due 80 zone a)) (at 20.6 (cancel 2))
   (at 20.7 (submit pieces 4 cores 8 run 20 due 60 zone b)) (at 30 (hang 4 12)) (at 31 (submit pieces 4 cores 4 run 4 due 60 owner blue))
--- a/scenarios/late-reports-next-leader.sexp
+++ b/scenarios/late-reports-next-leader.sexp
@@ -1,5 +1,5 @@
 (scenario "old reports reach every controller just as a new leader begins, some of workers that began anew since"
-  (seed 71) (until 330) (capacity 5)
+  (seeds 72 73 74 76) (until 330) (capacity 5)
   (at 1 (submit pieces 12 cores 4 run 60 due 280) (submit pieces 8 cores 4 run 50 due 280 urgency best_effort))
   (at 8 (late-reports 0.6 48 for-next))
   (at 14 (machines-send-nothing 5 31)) (at 30 (submit pieces 12 cores 4 run 10 due 40 urgency high)) (at 50 (cancel 1))
--- a/scenarios/leader-ends-unreachable.sexp
+++ b/scenarios/leader-ends-unreachable.sexp
@@ -1,5 +1,5 @@
 (scenario "leaders end while machines with long tasks can't be reached, or don't hear the new leader's answers"
-  (seed 75) (until 400) (capacity 8) (team-limit 48)
+  (seeds 72 73) (until 400) (capacity 8) (team-limit 48)
   (at 1 (submit pieces 12 cores 4 run 120 due 350 owner red) (submit pieces 12 cores 4 run 120 due 350 owner blue))
   (at 20 (machines-send-nothing 3 60) (machines-receive-nothing 4 60)) (at 21 (cut-machines 4 50 hold)) (at 22 (hang 3 24))
   (at 24 (crash host-0 5)) (at 25 (cancel 0)) (at 26 (submit pieces 12 cores 4 run 10 due 120 owner red urgency high)) (at 34 (crash host-1 4)) (at 50 (submit pieces 6 cores 4 run 10 due 200 owner blue urgency high))
--- a/scenarios/zone-cut.sexp
+++ b/scenarios/zone-cut.sexp
@@ -1,5 +1,5 @@
 (scenario "a zone apart from everything for longer than a lease, healing with all that was held"
-  (seed 55) (until 300) (capacity 8)
+  (seeds 71 72) (until 300) (capacity 8)
   (at 1 (submit pieces 12 cores 4 run 70 due 250) (submit pieces 8 cores 4 run 70) (submit pieces 8 cores 4 run 60 scatter yes))
   (at 20 (cut-zone b 55 hold)) (at 24 (cancel 1)) (at 30 (submit pieces 8 cores 4 run 10 due 100))
   (at 100 (submit pieces 12 cores 4 run 70 due 250))
