ran_twice: a machine's move whose answer was lost was repeated after it had been lent back

Cause: an edit of a machine's record stays queued until the mirror shows that it happened. When the move's answer was lost, the move carried out, and the machine lent back before the writer looked again, it moved the machine away once more, from under a task placed on it meanwhile; the task counted as off. An edit is now tied to the token that the machine had when it was asked for.

Unit test without the bench: controller/test/blocks.test.ts. Ruled out: late copies of the write (conditioned on the block's stamp).

--- a/packages/controller/src/blocks.ts
+++ b/packages/controller/src/blocks.ts
@@ -1,6 +1,7 @@
 import type { Membership } from "@sorreltally/membership"
 import { type BlockRecord, type Change, type Condition, keys, type StateClient } from "@sorreltally/state"
 import { ABSENT, type MachineId, type PartName, type Stamp, type Token } from "@sorreltally/wire"
+import type { MachineEntry } from "@sorreltally/workers"
 import { Effect, Result } from "effect"
 import { ADOPTED, type FleetBook, type Kind, originFor } from "./book.ts"
 import { Signal } from "./signal.ts"
@@ -15,6 +16,8 @@
 
 interface Queued {
   readonly edit: Edit
+  /** The machine's token when this was asked for: every move and fence raises it. */
+  readonly token: Token
   /** False: the machine wasn't ours any more. */
   readonly settled: (done: boolean) => void
 }
@@ -64,8 +67,9 @@
   ) {}
 
   edit(id: MachineId, edit: Edit, settled: (done: boolean) => void = () => {}): void {
+    const entry = this.book.get(id)
     if (this.edits.has(id)) return
-    this.edits.set(id, { edit, settled })
+    this.edits.set(id, { edit, token: entry?.token ?? (0 as Token), settled })
     this.signal.notify()
   }
   isEditing(id: MachineId): boolean {
@@ -159,6 +163,19 @@
     })
   }
 
+  /**
+   * Has this happened, or can't it happen any more? A move whose answer was lost
+   * may have been carried out, and the machine lent back to us since: repeated then, it would
+   * take the machine from under the tasks that were placed meanwhile (`ran_twice`).
+   */
+  private outcomeOf({ edit, token }: Queued, entry: MachineEntry | undefined): "open" | "done" | "void" {
+    const ours = entry !== undefined && entry.part === this.part
+    if (edit.kind === "remove") return ours ? "open" : "done"
+    if (!ours) return "void"
+    if (entry.token === token) return "open"
+    return edit.kind === "fence" ? "done" : "void"
+  }
+
   private writeEdits() {
     return Effect.gen({ self: this }, function* () {
       const urgent = [...this.edits.values()].some(({ edit }) => edit.kind !== "remove")
@@ -174,9 +191,10 @@
       const written: Array<[MachineId, Queued]> = []
       for (const [id, queued] of [...this.edits]) {
         const entry = this.book.get(id)
-        if (entry === undefined || entry.part !== this.part) {
+        const outcome = this.outcomeOf(queued, entry)
+        if (entry === undefined || outcome !== "open") {
           this.edits.delete(id)
-          queued.settled(queued.edit.kind === "remove")
+          queued.settled(outcome === "done")
           continue
         }
         let record = records.get(entry.block)
