--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -13,6 +13,7 @@
 } from "@sorreltally/wire"
 import { Effect, Exit, Random } from "effect"
 import { Cloud } from "./cloud.ts"
+import { LimitMeetings } from "./limit-meetings.ts"
 import { MembershipTroubles } from "./membership-troubles.ts"
 import { type Answer, Net, type Request } from "./net.ts"
 import { Rules } from "./rules.ts"
@@ -71,6 +72,7 @@
   readonly users: Users
   readonly userTroubles: UserTroubles
   readonly membershipTroubles: MembershipTroubles
+  readonly limitMeetings: LimitMeetings
   readonly names: ReadonlyArray<NodeName>
   private readonly lives = new Map<NodeName, Life>()
   readonly logged: Array<string> = []
@@ -103,6 +105,7 @@
     this.userTroubles = new UserTroubles(this.sim, this.users, this.rules)
     this.troubles = new Troubles(this)
     this.membershipTroubles = new MembershipTroubles(this)
+    this.limitMeetings = new LimitMeetings(this)
     for (let i = 0; i < setup.nodes; i++) this.sim.after(i * 150, () => this.start(this.names[i]!))
     const waiting = new WaitingRule(this.sim, this.rules, this.cloud)
     const look = () => {
@@ -245,6 +248,7 @@
 
   crash(name: NodeName, backAfterMs: number): void {
     this.rules.lastCrashAt = this.sim.now
+    this.limitMeetings.crashed(name)
     this.lives.get(name)?.process.kill()
     this.lives.delete(name)
     this.net.close(name)
