--- a/scenarios/ends-lost-answers.sexp
+++ b/scenarios/ends-lost-answers.sexp
@@ -1,5 +1,5 @@
 (scenario "went_back: ends and cancellations meet while answers to transactions are lost, or transactions late"
-  (seed 72) (until 220) (capacity 12)
+  (seeds 72 73 74 75) (until 220) (capacity 12)
   (at 1 (cancel-at-end 0.6 120) (close-polls 120))
   (at 2 (stream 80 60 pieces 1 cores 2 run 5 due 100) (stream 40 60 pieces 1 cores 2 run 5 owner blue))
   (at 5 (lost-answers 0.25 40)) (at 50 (late-transactions 0.2 30) (lost-answers 0.1 30))
