--- a/packages/testkit/src/waiting-rule.ts
+++ b/packages/testkit/src/waiting-rule.ts
@@ -83,7 +83,7 @@
     if (!this.rules.isLive(job)) return false
     let placed = 0
     for (const count of zones.values()) placed += count
-    if (placed + this.rules.users.finishedCount(job) >= request.pieces) return false
+    if (placed + this.rules.users.finishedTasks(job) >= request.pieces) return false
     if (used + request.cores > this.rules.limitOf(request.owner) + 1e-6) return false
     return rooms.some((room) => fits(request, zones, room))
   }
