--- /dev/null
+++ b/scenarios/ends-known.sexp
@@ -0,0 +1,10 @@
+(scenario "forgotten: a job whose end is packed with others is known at all nodes, also after all were lost"
+  (seed 73) (until 200) (capacity 12)
+  (at 1 (stream 60 15 pieces 1 cores 2 run 4 due 60) (stream 20 15 pieces 1 cores 2 run 4 owner blue))
+  (at 3 (cancel 2) (cancel 5) (cancel 61))
+  (at 40 (close-polls 150) (resubmit 0) (resubmit 2) (resubmit 50) (resubmit 61))
+  (at 60 (crash-all 3)) (at 75 (resubmit 0) (resubmit 2) (resubmit 50) (resubmit 61))
+  (at 80 (stream 200 40 pieces 1 cores 2 run 4 due 60))
+  (at 150 (crash-all 1)) (at 165 (resubmit 1) (resubmit 2) (resubmit 40) (resubmit 61) (resubmit 70))
+  (expect (all-over) (served) (withdrawn 3) (happened end 10))
+  (guard "packages/controller/src/job-book.ts" "if (final !== null) return final" ""))
