Room of no use to a part goes to others: machines are emptied for lending

A part now empties a machine for others if its tasks fit into room of no use here; and work that its team's limit holds back no longer keeps an empty machine from others.

Unit tests for what a part needs of a limit and for the choice of the machine.

--- a/packages/controller/src/engine.ts
+++ b/packages/controller/src/engine.ts
@@ -1,6 +1,7 @@
 import { JobState, type Placement } from "@sorreltally/jobs"
 import { DEADLINE, partOf } from "@sorreltally/membership"
 import {
+  LimitRoom,
   type Load,
   lend,
   type MachineView,
@@ -98,6 +99,8 @@
   private workWaits = false
   /** Empty machines that the last plan found no use for. */
   private idle: ReadonlySet<MachineId> = new Set()
+  /** Room on machines that are up for which it found none. */
+  private unusedCores = 0
   private lookedAt: Moment = NEVER
   private lately: { readonly at: Moment; readonly load: Load } | null = null
   private statusAt: Moment = NEVER
@@ -617,7 +620,10 @@
     const share = this.shareOfFleet()
     const reserve = this.reserve()
     let machines = machineViews(this, now, reserve, false)
-    const lent = lend(machines, jobs, needs, share, this.given(now), reserve)
+    // Work that its team's limit holds back is no reason to keep a machine from others.
+    const room = new LimitRoom(limits)
+    const startable = jobs.filter((job) => room.tasksLeft(job) > 0)
+    const lent = lend(machines, startable, needs, share, this.given(now), reserve)
     if (lent.length > 0) {
       for (const { machine, to } of lent) {
         const session = this.machines.get(machine)
@@ -625,7 +631,7 @@
       }
       machines = machineViews(this, now, reserve, false)
     }
-    if (this.hasMostMachines()) machines = this.draining.apply(machines, needs)
+    machines = this.draining.apply(machines, needs, this.unusedCores, this.hasMostMachines())
     const decided = plan({
       jobs,
       machines,
@@ -643,6 +649,7 @@
     this.carryOut(decided, now)
     this.workWaits = decided.unplaced.length > 0
     this.idle = decided.idle
+    this.unusedCores = decided.unusedCores
     if (decided.steadyWanted) {
       this.steadyWantedAt = now
       for (const tenancy of this.tenancies.values()) tenancy.closing = false
--- a/packages/controller/src/machine-needs.ts
+++ b/packages/controller/src/machine-needs.ts
@@ -1,21 +1,21 @@
 /** What a part asks of the others: machines for queued tasks that its own have no room for. */
 import {
+  isStarved,
   type JobView,
   type Need,
-  OVERDUE_RANK,
+  STARVED_RANK,
   shapeOf,
   tasksToBegin,
   type Unplaced,
-  waitsTooLong,
 } from "@sorreltally/planner"
 import type { PartName } from "@sorreltally/wire"
 
 /** The most urgent needs are told, and the kinds of machine that most jobs that waited too long wait for. */
 const NEEDS_TOLD = 4
-const OVERDUE_TOLD = 2
+const STARVED_TOLD = 2
 
 export const machineNeeds = (part: PartName, unplaced: ReadonlyArray<Unplaced>): ReadonlyArray<Need> => [
-  ...overdueNeeds(part, unplaced),
+  ...starvedNeeds(part, unplaced),
   ...unplaced.slice(0, NEEDS_TOLD).map(
     ({ job, tasks, pressing }): Need => ({
       part,
@@ -32,10 +32,10 @@
  * and more urgent work, or as urgent: for some of their tasks machines are lent
  * before any other work. Jobs that fit the same machines ask together.
  */
-const overdueNeeds = (part: PartName, unplaced: ReadonlyArray<Unplaced>): ReadonlyArray<Need> => {
+const starvedNeeds = (part: PartName, unplaced: ReadonlyArray<Unplaced>): ReadonlyArray<Need> => {
   const byKind = new Map<string, { readonly first: JobView; tasks: number }>()
   for (const { job, tasks } of unplaced) {
-    if (!waitsTooLong(job)) continue
+    if (!isStarved(job)) continue
     const kind = machinesOf(job)
     const alike = byKind.get(kind) ?? { first: job, tasks: 0 }
     alike.tasks += Math.min(tasks, tasksToBegin(job))
@@ -43,11 +43,11 @@
   }
   return [...byKind.values()]
     .sort((a, b) => b.tasks - a.tasks)
-    .slice(0, OVERDUE_TOLD)
+    .slice(0, STARVED_TOLD)
     .map(({ first, tasks }) => ({
       part,
       shape: shapeOf(first.request),
-      rank: OVERDUE_RANK,
+      rank: STARVED_RANK,
       tasks,
       pressing: 0,
     }))
--- a/packages/controller/src/quota-needs.ts
+++ b/packages/controller/src/quota-needs.ts
@@ -5,14 +5,14 @@
 import type { JobState } from "@sorreltally/jobs"
 import {
   goesFirst,
+  isStarved,
   type JobView,
-  OVERDUE_RANK,
   type QuotaNeed,
+  STARVED_RANK,
   slotsIn,
   type TeamClaim,
   type TeamRoom,
   tasksToBegin,
-  waitsTooLong,
 } from "@sorreltally/planner"
 import { type JobRequest, type TeamName, urgencyRank } from "@sorreltally/wire"
 import type { PartView } from "./context.ts"
@@ -46,8 +46,8 @@
     if (wanting === 0 || room === undefined) continue
     const startable = slotsIn(request, { ...room, mem_gb: Number.POSITIVE_INFINITY })
     if (startable >= wanting) continue
-    const overdue = waitsTooLong(job) && startable < Math.min(wanting, tasksToBegin(job))
-    const rank = overdue ? OVERDUE_RANK : job.rank
+    const starved = isStarved(job) && startable < Math.min(wanting, tasksToBegin(job))
+    const rank = starved ? STARVED_RANK : job.rank
     const since = part.jobs.get(id)?.submitted ?? 0
     const need: QuotaNeed = { part: part.part, team: request.owner, rank, since }
     const before = out.get(request.owner)
@@ -108,7 +108,7 @@
 ): ShareNeed => {
   const wall = part.ctx.time.wall()
   const demand = new Demand()
-  const overdue = new Demand()
+  const starved = new Demand()
   let left = unused
   let smallest: JobRequest | null = null
   for (const job of part.jobs.values()) {
@@ -120,7 +120,7 @@
     left -= tasks * request.cores
     demand.add(job, tasks, urgencyRank[request.urgency])
     const waiting = { unbegun: job.unbegun, queued, ageS: (wall - job.submitted) / 1000 }
-    if (waitsTooLong(waiting)) overdue.add(job, Math.min(tasks, tasksToBegin(waiting)), OVERDUE_RANK)
+    if (isStarved(waiting)) starved.add(job, Math.min(tasks, tasksToBegin(waiting)), STARVED_RANK)
     if (smallest === null || request.cores < smallest.cores) smallest = request
   }
   const asking = quotas.filter((q) => q.team === team)
@@ -136,7 +136,7 @@
   if (!others(demand)) return need(demand, "after")
   // Guards against work of low rank that never begins while other parts have more urgent work than
   // the limit holds: some tasks of a job that waited too long go before it.
-  if (overdue.cpus + overdue.gpus > 0 && !others(overdue)) return need(overdue, "after")
+  if (starved.cpus + starved.gpus > 0 && !others(starved)) return need(starved, "after")
   return need(demand, "first")
 }
 
--- /dev/null
+++ b/packages/controller/test/draining.test.ts
@@ -0,0 +1,59 @@
+import assert from "node:assert/strict"
+import { test } from "node:test"
+import { type MachineView, type Need, STARVED_RANK } from "@sorreltally/planner"
+import type { MachineId, MachineType, ZoneName } from "@sorreltally/wire"
+import { Draining } from "../src/draining.ts"
+
+const type = { name: "m", cores: 8, accelerators: 0, mem_gb: 32 } as unknown as MachineType
+const machine = (id: string, busyTasks: number, more: Partial<MachineView> = {}): MachineView => ({
+  id: id as MachineId,
+  type,
+  zone: "a" as ZoneName,
+  spot: true,
+  free: { cores: 8 - 2 * busyTasks, accelerators: 0, mem_gb: 32 },
+  busyTasks,
+  images: new Set(),
+  reserved: false,
+  state: "up",
+  holder: null,
+  ...more,
+})
+const need = (part: string, rank: number): Need =>
+  ({
+    part,
+    rank,
+    tasks: 4,
+    pressing: 0,
+    shape: { cores: 2, accelerators: 0, mem_gb: 1, loaners: true },
+  }) as unknown as Need
+const drained = (views: ReadonlyArray<MachineView>): ReadonlyArray<string> =>
+  views.filter(({ state }) => state === "closing").map(({ id }) => id)
+
+test("a machine is emptied for another part only if its tasks fit into room of no use here", () => {
+  const views = [machine("i-1", 3), machine("i-2", 2), machine("i-3", 4)]
+  assert.deepEqual(drained(new Draining().apply(views, [need("part-1", 1)], 7, true)), [])
+  assert.deepEqual(drained(new Draining().apply(views, [need("part-1", 1)], 8, true)), ["i-2"])
+  assert.deepEqual(drained(new Draining().apply(views, [], 100, true)), [])
+  // The same room isn't counted for two parts.
+  const two = [need("part-1", 1), need("part-2", 1)]
+  assert.deepEqual(drained(new Draining().apply(views, two, 15, true)), ["i-2"])
+  assert.deepEqual(drained(new Draining().apply(views, two, 16, true)), ["i-1", "i-2"])
+  const reserved = views.map((view) => ({ ...view, reserved: true }))
+  assert.deepEqual(drained(new Draining().apply(reserved, two, 100, true)), [])
+})
+
+test("for jobs that waited too long the part with the most machines empties one in any case", () => {
+  const views = [machine("i-1", 3), machine("i-2", 2)]
+  const starved = [need("part-1", STARVED_RANK)]
+  assert.deepEqual(drained(new Draining().apply(views, starved, 0, true)), ["i-2"])
+  assert.deepEqual(drained(new Draining().apply(views, starved, 0, false)), [])
+})
+
+test("the machine stays chosen until it is gone, or nobody asks any more", () => {
+  const draining = new Draining()
+  draining.apply([machine("i-1", 3), machine("i-2", 2)], [need("part-1", 1)], 8, true)
+  const later = [machine("i-1", 1), machine("i-2", 2)]
+  assert.deepEqual(drained(draining.apply(later, [need("part-1", 1)], 0, true)), ["i-2"])
+  assert.deepEqual(drained(draining.apply(later.slice(0, 1), [need("part-1", 1)], 8, true)), ["i-1"])
+  assert.deepEqual(drained(draining.apply(later, [], 8, true)), [])
+})
--- /dev/null
+++ b/packages/controller/test/quota-needs.test.ts
@@ -0,0 +1,64 @@
+import assert from "node:assert/strict"
+import { test } from "node:test"
+import { JobState } from "@sorreltally/jobs"
+import { type QuotaNeed, STARVED_RANK } from "@sorreltally/planner"
+import type { JobRecord } from "@sorreltally/state"
+import type { JobId, JobRequest, PartName, Stamp, TeamName } from "@sorreltally/wire"
+import type { PartView } from "../src/context.ts"
+import { shareNeed, teamClaims } from "../src/quota-needs.ts"
+
+const red = "red" as TeamName
+const NOW = 1_000_000
+const job = (number: number, ageS: number, more: Partial<JobRequest> = {}): JobState => {
+  const id = `run-${String(number).padStart(6, "0")}` as JobId
+  const request = {
+    id,
+    pieces: 40,
+    cores: 4,
+    accelerators: 0,
+    mem_gb: 1,
+    owner: red,
+    urgency: "standard",
+    ...more,
+  }
+  return new JobState(id, { request, submitted: NOW - ageS * 1000 } as unknown as JobRecord, 1 as Stamp)
+}
+const teams = [{ name: red, cpus: 50, cpus_max: 320, gpus: 0, gpus_max: 0 }]
+const part = (...jobs: ReadonlyArray<JobState>): PartView =>
+  ({
+    part: "part-0",
+    jobs: new Map(jobs.map((j) => [j.id, j])),
+    ctx: { time: { wall: () => NOW }, platform: { facts: { teams } } },
+  }) as unknown as PartView
+const asks = (rank: number): QuotaNeed => ({ part: "deadline" as PartName, team: red, rank, since: 0 })
+const use = { cores: 20, accelerators: 0 }
+
+test("what a part wants of a limit is what its tasks use and what machines have room for", () => {
+  const need = shareNeed(part(job(1, 10)), red, use, [], 30)
+  assert.deepEqual([need.used.cpus, need.wanted.cpus, need.asked], [20, 48, "no"])
+  assert.deepEqual(need.smallestTask, { cpus: 4, gpus: 0 })
+  // No machine has room: quota would only lie idle.
+  assert.deepEqual(shareNeed(part(job(1, 10)), red, use, [], 0).wanted.cpus, 20)
+})
+
+test("the more urgent part goes first, and so does the one whose work waits longer", () => {
+  const mine = part(job(1, 10, { urgency: "standard" }))
+  assert.equal(shareNeed(mine, red, use, [asks(0)], 30).asked, "after")
+  assert.equal(shareNeed(mine, red, use, [asks(3)], 30).asked, "first")
+})
+
+// Guards against work of low rank that never begins while other parts have more urgent work than the limit holds.
+test("of a job that waited too long a few tasks go before more urgent work of other parts", () => {
+  const need = shareNeed(part(job(1, 200)), red, use, [asks(3)], 400)
+  // A twentieth of 40 tasks of 4 cores.
+  assert.deepEqual([need.wanted.cpus, need.asked], [28, "after"])
+  assert.equal(shareNeed(part(job(1, 200)), red, use, [asks(STARVED_RANK)], 400).asked, "first")
+  assert.equal(shareNeed(part(job(1, 100)), red, use, [asks(3)], 400).asked, "first")
+})
+
+test("what a part counts on of a limit is told in steps", () => {
+  const claimed = (cores: number) =>
+    teamClaims(part(), new Map([[red, use]]), new Map([[red, { cores, accelerators: 0 }]]))[0]?.cpus
+  // Steps of 10 cores, a 32nd of the limit.
+  assert.deepEqual([0, 1, 10, 11, 999].map(claimed), [20, 30, 30, 40, 320])
+})
--- a/packages/planner/src/index.ts
+++ b/packages/planner/src/index.ts
@@ -1,5 +1,6 @@
 export * from "./deadline.ts"
 export * from "./lend.ts"
+export * from "./limits.ts"
 export * from "./model.ts"
 export * from "./order.ts"
 export * from "./overdue.ts"
--- a/packages/planner/src/model.ts
+++ b/packages/planner/src/model.ts
@@ -164,6 +164,8 @@
   readonly unplaced: ReadonlyArray<Unplaced>
   /** What the plan counts on of each team's limit beyond what is used: placed, expected on machines, or rented for. */
   readonly claims: ReadonlyMap<TeamName, TeamRoom>
+  /** Cores on machines that are up for which no queued task of ours has a use. */
+  readonly unusedCores: number
   /** Machines that are up, empty and of use to no queued task: none fits, or the teams' limits let none start. */
   readonly idle: ReadonlySet<MachineId>
 }
--- a/packages/planner/src/plan.ts
+++ b/packages/planner/src/plan.ts
@@ -20,7 +20,7 @@
   zoneAllowance,
 } from "./model.ts"
 import { inTiers } from "./order.ts"
-import { tasksToBegin, waitsTooLong } from "./overdue.ts"
+import { isOverdue, tasksToBegin } from "./overdue.ts"
 
 /** Seconds of fetching that other work rather takes than room beside the reserve's images. */
 const RESERVED_S = 4
@@ -94,7 +94,7 @@
     queued.set(job.id, left - placed)
     running.set(job.id, (running.get(job.id) ?? 0) + placed)
   }
-  for (const job of jobs) if (waitsTooLong(job)) place(job, tasksToBegin(job))
+  for (const job of jobs) if (isOverdue(job)) place(job, tasksToBegin(job))
   for (const tier of tiers) {
     for (const run of runsOf(tier, canWait)) {
       if (run.length > 1) for (const job of run) place(job, job.queued, true)
@@ -162,10 +162,18 @@
     steadyWanted,
     unplaced,
     claims: rentable.taken(),
+    unusedCores: unusedCores(up),
     idle: new Set(up.filter(isIdle).map(({ machine }) => machine.id)),
   }
 }
 
+/** Room that is kept in reserve is of use. */
+const unusedCores = (up: ReadonlyArray<Slot>): number => {
+  let cores = 0
+  for (const { free, reserved } of up) if (!reserved) cores += free.cores
+  return cores
+}
+
 /** Nothing runs there, and no queued task is placed or expected there: each of those replaces `free`. */
 const isIdle = ({ machine, free }: Slot): boolean =>
   machine.state === "up" && machine.busyTasks === 0 && free === machine.free
