--- a/packages/testkit/src/actions.ts
+++ b/packages/testkit/src/actions.ts
@@ -10,5 +10,6 @@
 export const number = (args: Args, at: number, or: number): number =>
   args[at] === undefined ? or : Number(args[at])
 
-/** A controller named by the first argument. */
-export const node = (args: Args): NodeName => args[0] as NodeName
+/** The controller named by the first argument, or whoever leads at that moment. */
+export const node = (world: World, args: Args): NodeName =>
+  args[0] === "leader" ? world.leader() : (args[0] as NodeName)
--- a/packages/testkit/src/cloud.ts
+++ b/packages/testkit/src/cloud.ts
@@ -27,6 +27,8 @@
     return this.count
   }
   private down = false
+  /** When its last outage ended. */
+  lastBackAt = Number.NEGATIVE_INFINITY
   private history: Array<{ readonly at: number; readonly hosts: ReadonlyArray<Record<string, unknown>> }> = []
 
   constructor(
@@ -49,6 +51,10 @@
 
   outage(on: boolean): void {
     this.down = on
+    if (!on) this.lastBackAt = this.sim.now
+  }
+  isDown(): boolean {
+    return this.down
   }
   private listNow() {
     return [...this.machines.values()].map((m) => ({
--- /dev/null
+++ b/packages/testkit/src/day-run.ts
@@ -0,0 +1,25 @@
+import type { DrawnPair } from "./effects.ts"
+import { type RandomDay, scenarioOf } from "./random-day.ts"
+import { readScenario } from "./scenario.ts"
+
+/** What one run of a random day showed. */
+export interface DayResult {
+  readonly seed: number
+  readonly failures: ReadonlyArray<string>
+  readonly pairs: ReadonlyArray<DrawnPair>
+  readonly starts: number
+  readonly tookMs: number
+}
+
+/** Runs a day to its end; a day that throws has failed. */
+export const runDay = (day: RandomDay): DayResult => {
+  const began = performance.now()
+  const tookMs = () => Math.round(performance.now() - began)
+  try {
+    const { failures, world } = readScenario(scenarioOf(day)).run()
+    return { seed: day.seed, failures, pairs: world.pairs, starts: world.rules.starts, tookMs: tookMs() }
+  } catch (cause) {
+    const thrown = `threw: ${(cause as Error).stack ?? String(cause)}`
+    return { seed: day.seed, failures: [thrown], pairs: [], starts: 0, tookMs: tookMs() }
+  }
+}
--- a/packages/testkit/src/machines.ts
+++ b/packages/testkit/src/machines.ts
@@ -88,6 +88,7 @@
   hang(on: boolean): void {
     this.hung = on
     if (on) return
+    this.sim.lastResumedAt = this.sim.now
     const missed = this.missed
     this.missed = []
     for (const run of missed) run()
@@ -109,6 +110,11 @@
     this.hung = false
     this.sim.after(afterMs, () => this.boot())
   }
+  /** How long ago the last answered report was sent, if the machine has tasks to lose. */
+  unansweredForMs(): number {
+    const running = this.status === "running" && this.tasks.size > 0
+    return running ? this.sim.now - this.lastAnswered : 0
+  }
   private whenAwake(run: () => void): void {
     if (this.gone) return
     if (this.hung) this.missed.push(() => this.whenAwake(run))
@@ -131,8 +137,10 @@
   }
   private drop(task: Task): void {
     task.callOff()
-    if (task.status === "running" || task.status === "flushing")
+    if (task.status === "running" || task.status === "flushing") {
+      this.rules.workLostAt = this.sim.now
       this.rules.ended(task.job, task.index, this.id)
+    }
     task.status = "gone"
   }
 
--- a/packages/testkit/src/net.ts
+++ b/packages/testkit/src/net.ts
@@ -28,6 +28,8 @@
 export class Net {
   private readonly servers = new Map<string, Server>()
   private readonly cuts = new Set<Cut>()
+  /** When the last cut healed. */
+  lastHealedAt = Number.NEGATIVE_INFINITY
   loss = 0
   repeat = 0
   /** Copies come at most this much later. */
@@ -42,6 +44,13 @@
     this.servers.delete(host)
   }
 
+  isCut(): boolean {
+    return this.cuts.size > 0
+  }
+  isUnreliable(): boolean {
+    return this.loss > 0 || this.repeat > 0
+  }
+
   /** Returns how to heal it. */
   cut(apart: Cut["apart"], mode: CutMode): () => void {
     return this.open({ apart, mode, oneWay: false, held: [] })
@@ -53,6 +62,7 @@
     this.cuts.add(cut)
     return () => {
       this.cuts.delete(cut)
+      this.lastHealedAt = this.sim.now
       for (const deliver of cut.held) this.sim.after(this.sim.luck.between(0, 50), deliver)
     }
   }
--- /dev/null
+++ b/packages/testkit/src/random-day.ts
@@ -0,0 +1,132 @@
+import type { TroubleEffect } from "./effects.ts"
+import { CANCELLATIONS_LAST_S, drawCancellations, drawUsers, type UserEvent } from "./random-jobs.ts"
+import { Luck } from "./sim.ts"
+import { type DaySettings, type Trouble, type TroubleKind, troubleKinds } from "./trouble-kinds.ts"
+
+/** A trouble that begins at some time of the day, and the pair that it is the second one of. */
+export interface TroubleEvent {
+  readonly atS: number
+  readonly form: string
+  readonly meets: MeetingPair | null
+}
+/** The second trouble begins inside that effect of the first one. */
+export interface MeetingPair {
+  readonly first: string
+  readonly effect: TroubleEffect
+  readonly second: string
+}
+/** A day of random work and troubles. All of it follows from the seed. */
+export interface RandomDay {
+  readonly seed: number
+  readonly settings: DaySettings
+  readonly users: ReadonlyArray<UserEvent>
+  readonly troubles: ReadonlyArray<TroubleEvent>
+}
+
+const PAIRS_A_DAY = 3
+const FIRST_TROUBLE_S = 12
+/** The first draws of seeds that lie side by side resemble each other. */
+const DRAWS_SKIPPED = 50
+const UNTIL_S = 700
+/** Users who cancel many jobs at once: drawn like a trouble, though nothing fails. */
+const CANCELLATIONS = "cancellations"
+/** What can be the first trouble of a pair: each has an effect that lasts. */
+export const firstTroubles: ReadonlyArray<string> = [...troubleKinds.map(({ name }) => name), CANCELLATIONS]
+export const secondTroubles = firstTroubles
+
+const usualDay: DaySettings = {
+  nodes: 3,
+  zones: ["a", "b"],
+  leaseS: 27,
+  cancelS: 47,
+  teamLimit: 48,
+  stateRps: 200,
+  stateWrites: 60,
+}
+const drawSettings = (luck: Luck): DaySettings => {
+  const usual = { ...usualDay, teamLimit: luck.pick([24, 48, 200]) }
+  return luck.pick<() => DaySettings>([
+    () => usual,
+    () => usual,
+    () => usual,
+    () => ({ ...usual, leaseS: 12, cancelS: 32 }),
+    () => ({ ...usual, nodes: 2 }),
+    () => ({ ...usual, nodes: 7, zones: ["a", "b", "c"] }),
+    () => ({ ...usual, zones: ["a"] }),
+    () => ({ ...usual, stateRps: 150, stateWrites: 15 }),
+  ])()
+}
+
+const kindNamed = (name: string): TroubleKind => troubleKinds.find((kind) => kind.name === name)!
+const cancellations = (): Trouble => ({
+  form: "",
+  lastsS: CANCELLATIONS_LAST_S,
+  windows: [{ effect: "cancelling", fromS: 0.2, toS: CANCELLATIONS_LAST_S }],
+})
+
+/**
+ * Which two troubles make pair number `index` of all days: every first trouble
+ * comes up once in as many pairs as there are, and all pairs in their square.
+ */
+const pairAt = (index: number): { readonly first: string; readonly second: string } => {
+  const round = Math.floor(index / firstTroubles.length)
+  const first = index % firstTroubles.length
+  return { first: firstTroubles[first]!, second: secondTroubles[(first + round) % secondTroubles.length]! }
+}
+
+/** Draws the days one after the other: users, then pairs of troubles, and now and then one that stands alone. */
+export const drawDay = (seed: number): RandomDay => {
+  const luck = new Luck(seed)
+  for (let i = 0; i < DRAWS_SKIPPED; i++) luck.next()
+  const settings = drawSettings(luck)
+  const users = [...drawUsers(luck, settings)]
+  const troubles: Array<TroubleEvent> = []
+  const add = (name: string, atS: number, meets: MeetingPair | null): Trouble => {
+    const trouble = name === CANCELLATIONS ? cancellations() : kindNamed(name).draw(luck, settings)
+    if (name === CANCELLATIONS) users.push(...drawCancellations(luck, users, atS))
+    troubles.push({ atS, form: trouble.form, meets })
+    return trouble
+  }
+  let atS = FIRST_TROUBLE_S + luck.between(0, 20)
+  for (let i = 0; i < PAIRS_A_DAY; i++) {
+    const { first, second } = pairAt((seed - 1) * PAIRS_A_DAY + i)
+    const { windows } = add(first, atS, null)
+    const { effect, fromS, toS } = luck.pick(windows)
+    const secondS = atS + luck.between(fromS, toS)
+    add(second, secondS, { first, effect, second })
+    if (luck.chance(0.3)) add(luck.pick(secondTroubles), secondS + luck.between(0, 10), null)
+    atS = secondS + luck.between(5, 25)
+  }
+  return { seed, settings, users, troubles }
+}
+
+interface Line {
+  readonly atS: number
+  readonly text: string
+}
+const seconds = (atS: number) => atS.toFixed(2)
+const troubleLine = ({ atS, form, meets }: TroubleEvent): Line => {
+  const pair = meets === null ? "" : `(pair ${meets.first} ${meets.effect} ${meets.second})`
+  return { atS, text: `(at ${seconds(atS)} ${[pair, form].filter((f) => f !== "").join(" ")})` }
+}
+
+/** The day as a scenario, which runs alone and can be kept. */
+export const scenarioOf = ({ seed, settings, users, troubles }: RandomDay): string => {
+  const submitted = users.filter(({ does }) => does === "submit").sort((a, b) => a.atS - b.atS)
+  const positions = new Map(submitted.map(({ job }, position) => [job, position]))
+  const userLine = (event: UserEvent): Line => {
+    const what = event.does === "submit" ? event.options : positions.get(event.job)
+    return { atS: event.atS, text: `(at ${seconds(event.atS)} (${event.does} ${what}))` }
+  }
+  const begin = troubles.filter(({ form, meets }) => form !== "" || meets !== null)
+  const lines = [...users.map(userLine), ...begin.map(troubleLine)].sort((a, b) => a.atS - b.atS)
+  const { nodes, zones, leaseS, cancelS, teamLimit, stateRps, stateWrites } = settings
+  return `(scenario "random day ${seed}" (seed ${seed}) (until ${UNTIL_S}) (nodes ${nodes}) (zones ${zones.join(" ")})
+  (workers 3 ${leaseS} ${cancelS}) (state-limits ${stateRps} ${stateWrites}) (team-limit ${teamLimit}) (never-boots 0.05)
+  ${lines.map(({ text }) => text).join("\n  ")}
+  (expect (all-over) (served) (largest-begun-within 240)))`
+}
+
+/** The pairs that were drawn for the day. */
+export const pairsOf = ({ troubles }: RandomDay): ReadonlyArray<MeetingPair> =>
+  troubles.flatMap(({ meets }) => (meets === null ? [] : [meets]))
--- a/packages/testkit/src/rules.ts
+++ b/packages/testkit/src/rules.ts
@@ -22,6 +22,8 @@
   /** CPUs by team. */
   private readonly used = new Map<string, number>()
   starts = 0
+  /** When a machine last lost a running task without having been told to stop it. */
+  workLostAt = Number.NEGATIVE_INFINITY
   /** Starts of jobs whose user had been told before that they are cancelled. */
   startsAfterCancellation = 0
   /** No trouble is under way after this. */
@@ -126,6 +128,12 @@
     const at = this.users.cancelledAt.get(job)
     if (at !== undefined && this.sim.now > at + this.cancelS * 1000) this.say("ran_cancelled", task)
   }
+  /** A job that somebody cancels isn't confirmed as over yet, or has tasks on machines. */
+  cancellationUnderWay(): boolean {
+    const { askedToCancel } = this.users
+    if ([...askedToCancel].some((job) => this.users.finalState(job) === null)) return true
+    return [...this.places.keys()].some((task) => askedToCancel.has(task.slice(0, task.indexOf("/"))))
+  }
   /** A trouble begins, and lasts that long. */
   trouble(forMs: number): void {
     this.quietFrom = Math.max(this.quietFrom, this.sim.now + forMs)
--- a/packages/testkit/src/scenario.ts
+++ b/packages/testkit/src/scenario.ts
@@ -1,6 +1,7 @@
 import type { JobId, JobRequest } from "@sorreltally/wire"
 import { type Form, parse } from "sexpr-plus"
 import { type Action, type Args, node, number } from "./actions.ts"
+import { type TroubleEffect, troubleEffects } from "./effects.ts"
 import { troubleActions } from "./trouble-actions.ts"
 import { HARMLESS, userActions, userExpectations } from "./user-actions.ts"
 import { type Sending, type Setup, usualSetup, World } from "./world.ts"
@@ -69,7 +70,7 @@
   resubmit: (world, args) => world.users.resubmit(job(world, args)),
   cancel: (world, args) => world.users.cancel(job(world, args)),
   "ask-about-nobody": (world) => world.users.askAboutNobody(),
-  crash: (world, args) => world.crash(node(args), number(args, 1, 4) * 1000),
+  crash: (world, args) => world.crash(node(world, args), number(args, 1, 4) * 1000),
   "crash-all": (world, args) => {
     for (const name of world.names) world.crash(name, number(args, 0, 4) * 1000)
   },
@@ -77,11 +78,17 @@
     world.cloud.outage(true)
     world.sim.after(number(args, 0, 10) * 1000, () => world.cloud.outage(false))
   },
+  /** Says which pair of troubles comes next, and notes whether the first one's effect is there. */
+  pair: (world, [first, effect, second]) => {
+    if (!troubleEffects.includes(effect as TroubleEffect)) throw new Error(`unknown effect ${effect}`)
+    const met = world.effects.has(effect as TroubleEffect)
+    world.pairs.push({ first: first!, effect: effect as TroubleEffect, second: second!, met })
+  },
   capacity: (world, args) => {
     world.cloud.settings.capacity = number(args, 0, 0)
   },
   freeze: (world, args) =>
-    world.freeze(node(args), number(args, 1, 30) * 1000, (args[2] ?? null) as Sending | null),
+    world.freeze(node(world, args), number(args, 1, 30) * 1000, (args[2] ?? null) as Sending | null),
 }
 
 const atMost = (what: string, count: number, args: Args): string | null =>
@@ -122,6 +129,11 @@
       : `${world.count.workersAtOne} workers at one node, not ${args[0]}`,
   "rented-at-least": (world, args) =>
     world.cloud.rented >= number(args, 0, 0) ? null : `${world.cloud.rented} machines rented, not ${args[0]}`,
+  /** So many of the pairs that the scenario names really met. */
+  "pairs-met-at-least": (world, args) => {
+    const met = world.pairs.filter((pair) => pair.met).length
+    return met >= number(args, 0, 1) ? null : `${met} of ${world.pairs.length} pairs met, expected ${args[0]}`
+  },
   "no-machine": (world) => expectations["machines-at-most"]!(world, ["0"]),
   "log-has": (world, args) =>
     world.logged.some((l) => l.includes(args[0]!)) ? null : `never logged: ${args[0]}`,
@@ -170,7 +182,10 @@
           atS: Number(words(at!)[0]),
           action,
           args,
-          lastsS: name === "submit" || name === "stream" || HARMLESS.has(name ?? "") ? 0 : lastsS,
+          lastsS:
+            name === "submit" || name === "stream" || name === "pair" || HARMLESS.has(name ?? "")
+              ? 0
+              : lastsS,
         })
       }
     } else if (what === "expect") {
@@ -192,6 +207,11 @@
         setup = { ...setup, [what]: Number(args[0]) }
       else if (what === "state-limits")
         setup = { ...setup, stateRps: Number(args[0]), stateWrites: Number(args[1]) }
+      else if (what === "workers")
+        setup = {
+          ...setup,
+          workers: { report_s: Number(args[0]), lease_s: Number(args[1]), cancel_s: Number(args[2]) },
+        }
       else if (what === "team-limit") setup = { ...setup, teamMax: Number(args[0]) }
       else if (what === "never-boots") setup = { ...setup, neverBoots: Number(args[0]) }
       else throw new Error(`line ${entry.location.start.line}: unknown entry ${what}`)
--- a/packages/testkit/src/sim.ts
+++ b/packages/testkit/src/sim.ts
@@ -34,6 +34,8 @@
  */
 export class Sim {
   now = 0
+  /** When a process or machine that stood still last went on. */
+  lastResumedAt = Number.NEGATIVE_INFINITY
   private count = 0
   private readonly timers: Array<Timer> = []
   private ready: Array<() => void> = []
@@ -142,6 +144,7 @@
         this.after(ms, () => {
           const late = missed ?? []
           missed = null
+          this.lastResumedAt = this.now
           for (const run of late) this.soon(() => whenAwake(run))
         })
       },
--- a/packages/testkit/src/state-faults.ts
+++ b/packages/testkit/src/state-faults.ts
@@ -31,6 +31,10 @@
 
   constructor(private readonly sim: Sim) {}
 
+  areOn(): boolean {
+    return this.lateShare > 0 || this.lostShare > 0 || this.slowMs > 0
+  }
+
   /**
    * True: this transaction is held back. `run` then carries it out, and says
    * whether it changed anything, or null while the service is out.
--- a/packages/testkit/src/state.ts
+++ b/packages/testkit/src/state.ts
@@ -34,6 +34,9 @@
   private readonly news: Array<News> = []
   private waiting: Array<() => void> = []
   private down = false
+  /** When it last came back for everybody or for one node. */
+  lastBackAt = Number.NEGATIVE_INFINITY
+  private readonly changedAt = new Map<string, number>()
   private readonly refused = new Set<string>()
   readonly faults: StateFaults
   /** Requests and changes asked for, and those turned away for being too many. */
@@ -70,12 +73,28 @@
 
   outage(on: boolean): void {
     this.down = on
-    if (!on) this.renewAll()
+    if (on) return
+    this.lastBackAt = this.sim.now
+    this.renewAll()
   }
   /** One node alone gets 503, and its leases run out. */
   refuse(node: string, on: boolean): void {
     if (on) this.refused.add(node)
     else this.refused.delete(node)
+    if (!on) this.lastBackAt = this.sim.now
+  }
+  isDown(): boolean {
+    return this.down
+  }
+  /** How long ago a grant was made or touched; 0 if there is none. */
+  untouchedForMs(permit: number | null): number {
+    const grant = this.grants.get(permit ?? -1)
+    return grant === undefined ? 0 : this.sim.now - (grant.until - grant.ttl)
+  }
+  /** When a key with the prefix was last written or deleted. */
+  lastChangeAt(prefix: string): number {
+    const times = [...this.changedAt].filter(([path]) => path.startsWith(prefix)).map(([, at]) => at)
+    return Math.max(Number.NEGATIVE_INFINITY, ...times)
   }
   private renewAll(): void {
     for (const grant of this.grants.values()) grant.until = this.sim.now + grant.ttl
@@ -185,6 +204,7 @@
   private change(path: string, entry: Held | null): void {
     if (entry === null) this.keys.delete(path)
     else this.keys.set(path, entry)
+    this.changedAt.set(path, this.sim.now)
     this.news.push({ epoch: this.epoch, path, entry })
     if (this.news.length > KEPT_NEWS) this.news.shift()
   }
--- /dev/null
+++ b/packages/testkit/src/sweep.ts
@@ -0,0 +1,108 @@
+import { type ChildProcess, fork } from "node:child_process"
+import { parseArgs } from "node:util"
+import { Coverage } from "./coverage.ts"
+import { type DayResult, runDay } from "./day-run.ts"
+import { drawDay, scenarioOf } from "./random-day.ts"
+import { shrink } from "./shrink.ts"
+
+// Runs many random days: `npm run sweep -- --first 1001 --days 1000 --jobs 3 [--shrink]`. Prints every day that
+// fails with its scenario, then how often the pairs of troubles met. Exits with 1 if a day failed.
+
+const { values } = parseArgs({
+  options: {
+    first: { type: "string", default: "1001" },
+    days: { type: "string", default: "100" },
+    jobs: { type: "string", default: "3" },
+    shrink: { type: "boolean", default: false },
+    "day-limit-s": { type: "string", default: "180" },
+  },
+})
+const MOST_SHRINKING_RUNS = 200
+
+/** A worker process gets seeds and answers with what their days showed. */
+const serveDays = (): void => {
+  process.on("message", (seed: number) => process.send?.(runDay(drawDay(seed))))
+}
+
+class Sweep {
+  private readonly coverage = new Coverage()
+  private readonly failed: Array<DayResult> = []
+  private next: number
+  private readonly end: number
+  private ran = 0
+  private starts = 0
+  private slowest: DayResult | null = null
+
+  constructor(first: number, days: number) {
+    this.next = first
+    this.end = first + days
+  }
+
+  /** Ends when the workers have run all days. */
+  async run(workers: number): Promise<void> {
+    await Promise.all(Array.from({ length: workers }, () => this.keepWorking()))
+  }
+  private async keepWorking(): Promise<void> {
+    let worker: ChildProcess | null = null
+    while (this.next < this.end) {
+      worker ??= fork(process.argv[1]!, [], { env: { ...process.env, SWEEP_WORKER: "1" } })
+      const result = await this.oneDay(worker, this.next++)
+      this.take(result)
+      if (!worker.connected || worker.killed) worker = null
+    }
+    worker?.disconnect()
+  }
+  private oneDay(worker: ChildProcess, seed: number): Promise<DayResult> {
+    return new Promise((resolve) => {
+      const broken = (why: string) =>
+        resolve({ seed, failures: [why], pairs: [], starts: 0, tookMs: Number.NaN })
+      const limitS = Number(values["day-limit-s"])
+      const timer = setTimeout(() => {
+        worker.kill("SIGKILL")
+        broken(`the day took longer than ${limitS} s`)
+      }, limitS * 1000)
+      const ended = () => {
+        clearTimeout(timer)
+        broken("the worker process ended")
+      }
+      worker.once("exit", ended)
+      worker.once("message", (result) => {
+        clearTimeout(timer)
+        worker.off("exit", ended)
+        resolve(result as DayResult)
+      })
+      worker.send(seed)
+    })
+  }
+  private take(result: DayResult): void {
+    this.ran++
+    this.starts += result.starts
+    if (this.slowest === null || result.tookMs > this.slowest.tookMs) this.slowest = result
+    for (const pair of result.pairs) this.coverage.add(pair)
+    if (result.failures.length === 0) return
+    this.failed.push(result)
+    process.stdout.write(`seed ${result.seed} failed:\n  ${result.failures.join("\n  ")}\n`)
+  }
+
+  report(): number {
+    for (const result of this.failed) this.tellFailure(result)
+    const seeds = this.failed.map(({ seed }) => seed).join(" ")
+    process.stdout.write(
+      `${this.ran} days, ${this.starts} task starts, ${this.failed.length} days failed${seeds === "" ? "" : `: ${seeds}`}\n` +
+        `slowest day: seed ${this.slowest?.seed}, ${this.slowest?.tookMs} ms\n\n${this.coverage.table()}`,
+    )
+    return this.failed.length === 0 ? 0 : 1
+  }
+  private tellFailure(result: DayResult): void {
+    const day = drawDay(result.seed)
+    const shown = values.shrink ? shrink(day, result, MOST_SHRINKING_RUNS) : day
+    process.stdout.write(`\n; seed ${result.seed}: ${result.failures.join("; ")}\n${scenarioOf(shown)}\n\n`)
+  }
+}
+
+if (process.env.SWEEP_WORKER === "1") serveDays()
+else {
+  const sweep = new Sweep(Number(values.first), Number(values.days))
+  await sweep.run(Number(values.jobs))
+  process.exitCode = sweep.report()
+}
--- /dev/null
+++ b/packages/testkit/src/trouble-kinds.ts
@@ -0,0 +1,276 @@
+import type { TroubleEffect } from "./effects.ts"
+import type { Luck } from "./sim.ts"
+
+/** What the draws of a day depend on. */
+export interface DaySettings {
+  readonly nodes: number
+  readonly zones: ReadonlyArray<string>
+  readonly leaseS: number
+  readonly cancelS: number
+  readonly teamLimit: number
+  readonly stateRps: number
+  readonly stateWrites: number
+}
+/** When an effect of a trouble is to be expected, in seconds after the trouble began. */
+export interface EffectWindow {
+  readonly effect: TroubleEffect
+  readonly fromS: number
+  readonly toS: number
+}
+/** One trouble as drawn: its scenario verb with arguments, and how long it lasts. */
+export interface Trouble {
+  readonly form: string
+  readonly lastsS: number
+  readonly windows: ReadonlyArray<EffectWindow>
+}
+export interface TroubleKind {
+  readonly name: string
+  readonly draw: (luck: Luck, settings: DaySettings) => Trouble
+}
+
+/** About how long a dead controller's grant stands, and how long a take-over goes on after it. */
+const GRANT_S = 6
+const TAKE_OVER_S = 4
+const AFTER_RETURN_S = 6
+/** A silence shows once a report or two are missed. */
+const SILENCE_SHOWS_S = 6
+const RECOVERY_S = 20
+
+const window = (effect: TroubleEffect, fromS: number, toS: number): ReadonlyArray<EffectWindow> =>
+  toS > fromS ? [{ effect, fromS, toS }] : []
+
+/** A controller that acts no longer, and can renew its grant again after `lastsS`. */
+const lapse = (lastsS: number): ReadonlyArray<EffectWindow> => [
+  ...window("entitlement-lapses", 3, Math.min(lastsS, GRANT_S)),
+  ...(lastsS > GRANT_S ? window("take-over", GRANT_S, GRANT_S + TAKE_OVER_S) : []),
+  ...afterReturn(lastsS),
+]
+const afterReturn = (lastsS: number): ReadonlyArray<EffectWindow> =>
+  window("after-return", lastsS + 0.1, lastsS + AFTER_RETURN_S)
+const workLost = (fromS: number): ReadonlyArray<EffectWindow> =>
+  window("work-lost", fromS + 0.2, fromS + RECOVERY_S)
+/** Machines that nobody hears, or that hear nobody: up to their lease, then what they ran is lost. */
+const silence = (lastsS: number, leaseS: number): ReadonlyArray<EffectWindow> => [
+  ...window("machines-silent", SILENCE_SHOWS_S, Math.min(lastsS, leaseS)),
+  ...(lastsS > leaseS + 1 ? workLost(leaseS + 1) : []),
+]
+
+const whole = (luck: Luck, low: number, high: number) => Math.floor(luck.between(low, high + 1))
+const controller = (luck: Luck, { nodes }: DaySettings) =>
+  luck.chance(0.5) ? "leader" : `host-${whole(luck, 0, nodes - 1)}`
+const cutMode = (luck: Luck) => luck.pick(["hold", "hold", "drop", "reset"])
+/** Half of the spells end within the workers' lease, the others after it. */
+const spell = (luck: Luck, { leaseS }: DaySettings) =>
+  luck.chance(0.5) ? whole(luck, 3, leaseS - 2) : whole(luck, leaseS + 2, leaseS + 33)
+
+const kind = (name: string, draw: TroubleKind["draw"]): TroubleKind => ({ name, draw })
+
+/** Every trouble that random days draw, under the name of its scenario verb. */
+export const troubleKinds: ReadonlyArray<TroubleKind> = [
+  kind("crash", (luck, settings) => {
+    const backS = luck.pick([0.2, 1, 4, 8, 20])
+    const windows = backS < GRANT_S ? window("take-over", 0.3, backS + TAKE_OVER_S) : []
+    return {
+      form: `(crash ${controller(luck, settings)} ${backS})`,
+      lastsS: backS,
+      windows: [...windows, ...lapse(backS)],
+    }
+  }),
+  kind("crash-all", (luck, { leaseS }) => {
+    const backS = luck.pick([0.3, 3, 8, leaseS + 4])
+    return {
+      form: `(crash-all ${backS})`,
+      lastsS: backS,
+      windows: [
+        ...window("take-over", 0.1, backS + TAKE_OVER_S),
+        ...afterReturn(backS),
+        ...silence(backS, leaseS),
+      ],
+    }
+  }),
+  kind("state-outage", (luck, settings) => {
+    const lastsS = luck.chance(0.6) ? whole(luck, 3, 25) : whole(luck, settings.cancelS, settings.cancelS + 8)
+    return {
+      form: `(state-outage ${lastsS})`,
+      lastsS,
+      windows: [...window("state-outage", 0, lastsS), ...afterReturn(lastsS)],
+    }
+  }),
+  kind("state-refuses", (luck, settings) => {
+    const lastsS = whole(luck, 3, 40)
+    return { form: `(state-refuses ${controller(luck, settings)} ${lastsS})`, lastsS, windows: lapse(lastsS) }
+  }),
+  kind("state-slow", (luck) => {
+    const lastsS = whole(luck, 5, 40)
+    return {
+      form: `(state-slow ${luck.pick([200, 800, 2_000])} ${lastsS})`,
+      lastsS,
+      windows: window("messages-astray", 0, lastsS),
+    }
+  }),
+  kind("late-transactions", (luck) => {
+    const lastsS = whole(luck, 5, 40)
+    return {
+      form: `(late-transactions ${luck.pick([0.05, 0.2, 0.5])} ${lastsS})`,
+      lastsS,
+      windows: window("messages-astray", 0, lastsS),
+    }
+  }),
+  kind("lost-answers", (luck) => {
+    const lastsS = whole(luck, 5, 40)
+    return {
+      form: `(lost-answers ${luck.pick([0.05, 0.2, 0.5])} ${lastsS})`,
+      lastsS,
+      windows: window("messages-astray", 0, lastsS),
+    }
+  }),
+  kind("cloud-outage", (luck) => {
+    const lastsS = whole(luck, 3, 30)
+    return {
+      form: `(cloud-outage ${lastsS})`,
+      lastsS,
+      windows: [...window("cloud-outage", 0, lastsS), ...afterReturn(lastsS)],
+    }
+  }),
+  kind("cut-machines", (luck, settings) => {
+    const lastsS = spell(luck, settings)
+    return {
+      form: `(cut-machines ${whole(luck, 1, 6)} ${lastsS} ${cutMode(luck)})`,
+      lastsS,
+      windows: [
+        ...window("network-cut", 0, lastsS),
+        ...silence(lastsS, settings.leaseS),
+        ...afterReturn(lastsS),
+      ],
+    }
+  }),
+  kind("cut-zones", (luck, settings) => {
+    const lastsS = spell(luck, settings)
+    return {
+      form: `(cut-zones ${lastsS} ${cutMode(luck)})`,
+      lastsS,
+      windows: [...window("network-cut", 0, lastsS), ...afterReturn(lastsS)],
+    }
+  }),
+  kind("cut-zone", (luck, settings) => {
+    const lastsS = spell(luck, settings)
+    return {
+      form: `(cut-zone ${luck.pick(settings.zones)} ${lastsS} ${cutMode(luck)})`,
+      lastsS,
+      windows: [...window("network-cut", 0, lastsS), ...lapse(lastsS)],
+    }
+  }),
+  kind("cut-peers", (luck, settings) => {
+    const lastsS = whole(luck, 3, 40)
+    return {
+      form: `(cut-peers ${controller(luck, settings)} ${lastsS})`,
+      lastsS,
+      windows: [...window("network-cut", 0, lastsS), ...afterReturn(lastsS)],
+    }
+  }),
+  kind("refuse-peers", (luck) => {
+    const lastsS = whole(luck, 3, 30)
+    return {
+      form: `(refuse-peers ${lastsS})`,
+      lastsS,
+      windows: [...window("network-cut", 0, lastsS), ...afterReturn(lastsS)],
+    }
+  }),
+  kind("cut-orders", (luck, settings) => {
+    const lastsS = spell(luck, settings)
+    return {
+      form: `(cut-orders ${lastsS})`,
+      lastsS,
+      windows: [...window("network-cut", 0, lastsS), ...afterReturn(lastsS)],
+    }
+  }),
+  kind("isolate", (luck, settings) => {
+    const lastsS = whole(luck, 3, 50)
+    return {
+      form: `(isolate ${controller(luck, settings)} ${lastsS})`,
+      lastsS,
+      windows: [...window("network-cut", 0, lastsS), ...lapse(lastsS)],
+    }
+  }),
+  kind("freeze", (luck, settings) => {
+    const lastsS = whole(luck, 5, 35)
+    const sending = luck.pick(["", "", " answer", " command", " transaction", " take-over", " touch"])
+    return {
+      form: `(freeze ${controller(luck, settings)} ${lastsS}${sending})`,
+      lastsS,
+      windows: sending === "" ? lapse(lastsS) : window("entitlement-lapses", 4, Math.min(lastsS, GRANT_S)),
+    }
+  }),
+  kind("hang", (luck, settings) => {
+    const lastsS = spell(luck, settings)
+    return {
+      form: `(hang ${whole(luck, 1, 6)} ${lastsS})`,
+      lastsS,
+      windows: [...silence(lastsS, settings.leaseS), ...afterReturn(lastsS)],
+    }
+  }),
+  kind("deafen", (luck, settings) => {
+    const lastsS = spell(luck, settings)
+    return {
+      form: `(deafen ${whole(luck, 1, 4)} ${lastsS})`,
+      lastsS,
+      windows: [...silence(lastsS, settings.leaseS), ...afterReturn(lastsS)],
+    }
+  }),
+  kind("reboot", (luck) => {
+    const downS = luck.pick([0.1, 0.5, 5])
+    return { form: `(reboot ${whole(luck, 1, 6)} ${downS})`, lastsS: downS, windows: workLost(0) }
+  }),
+  kind("die", (luck) => ({ form: `(die ${whole(luck, 1, 6)})`, lastsS: 0, windows: workLost(0) })),
+  kind("take-spot", (luck) => {
+    const noticeS = luck.pick([0, 0, 8, 15])
+    return {
+      form: `(take-spot ${whole(luck, 1, 6)} ${noticeS})`,
+      lastsS: noticeS,
+      windows: workLost(noticeS),
+    }
+  }),
+  kind("cancel-burst", (luck, { leaseS }) => {
+    const hangS = luck.pick([0, 0, 8, leaseS - 2, leaseS + 10])
+    return {
+      form: `(cancel-burst ${whole(luck, 2, 6)} ${hangS})`,
+      lastsS: hangS,
+      windows: [
+        ...window("cancelling", 0.05, Math.max(0.5, Math.min(hangS, leaseS))),
+        ...(hangS > 0 ? afterReturn(hangS) : []),
+      ],
+    }
+  }),
+  kind("cancel-at-end", (luck) => {
+    const lastsS = whole(luck, 30, 90)
+    return {
+      form: `(cancel-at-end ${luck.pick([0.2, 0.5])} ${lastsS})`,
+      lastsS,
+      windows: window("user-pressure", 0, lastsS),
+    }
+  }),
+  kind("odd-requests", (luck) => {
+    const lastsS = whole(luck, 20, 60)
+    return { form: `(odd-requests ${lastsS})`, lastsS, windows: window("user-pressure", 0, lastsS) }
+  }),
+  kind("close-polls", (luck) => {
+    const lastsS = whole(luck, 20, 60)
+    return { form: `(close-polls ${lastsS})`, lastsS, windows: window("user-pressure", 0, lastsS) }
+  }),
+  kind("lose-messages", (luck) => {
+    const lastsS = whole(luck, 5, 30)
+    return {
+      form: `(lose-messages 0.03 ${lastsS})`,
+      lastsS,
+      windows: window("messages-astray", 0, lastsS),
+    }
+  }),
+  kind("repeat-messages", (luck) => {
+    const lastsS = whole(luck, 5, 30)
+    return {
+      form: `(repeat-messages 0.05 ${lastsS} ${luck.pick([5, 20, 70])})`,
+      lastsS,
+      windows: window("messages-astray", 0, lastsS),
+    }
+  }),
+]
--- a/packages/testkit/src/user-actions.ts
+++ b/packages/testkit/src/user-actions.ts
@@ -1,4 +1,4 @@
-import { type Action, type Args, number } from "./actions.ts"
+import { type Action, type Args, node, number } from "./actions.ts"
 import { largestOfClasses, notBegunWithin, unserved } from "./service-rules.ts"
 import type { World } from "./world.ts"
 
@@ -11,8 +11,9 @@
     world.sim.after(seconds(args, 0, 10), () => world.state.outage(false))
   },
   "state-refuses": (world, args) => {
-    world.state.refuse(args[0]!, true)
-    world.sim.after(seconds(args, 1, 10), () => world.state.refuse(args[0]!, false))
+    const refused = node(world, args)
+    world.state.refuse(refused, true)
+    world.sim.after(seconds(args, 1, 10), () => world.state.refuse(refused, false))
   },
   /** Every answer of the state service takes up to that many milliseconds longer, for so long. */
   "state-slow": (world, args) => {
--- a/packages/testkit/src/user-troubles.ts
+++ b/packages/testkit/src/user-troubles.ts
@@ -20,6 +20,7 @@
 export class UserTroubles {
   private closePollsUntil = 0
   private cancelAtEnd = { share: 0, until: 0 }
+  private oddUntil = 0
   private oddJobs = 0
   readonly count = {
     /** Answers within a moment of an acceptance, a confirmed cancellation, and the end of a job's last task. */
@@ -44,6 +45,9 @@
     rules.onComplete.push((job) => this.completed(job as JobId))
   }
 
+  areOn(): boolean {
+    return this.sim.now < Math.max(this.closePollsUntil, this.cancelAtEnd.until, this.oddUntil)
+  }
   /** All nodes are polled within milliseconds of each event, and submissions repeated. */
   closePolls(forMs: number): void {
     this.closePollsUntil = Math.max(this.closePollsUntil, this.sim.now + forMs)
@@ -96,6 +100,7 @@
   /** Repeated submissions of unfinished jobs, cancels of done ones, jobs that no node may accept. */
   oddRequests(forMs: number): void {
     const until = this.sim.now + forMs
+    this.oddUntil = Math.max(this.oddUntil, until)
     const next = () => {
       if (this.sim.now >= until) return
       this.oddRequest()
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -13,6 +13,7 @@
 } from "@sorreltally/wire"
 import { Effect, Exit, Random } from "effect"
 import { Cloud } from "./cloud.ts"
+import { type DrawnPair, EffectObserver } from "./effects.ts"
 import { type Answer, Net, type Request } from "./net.ts"
 import { Rules } from "./rules.ts"
 import { type Process, Sim } from "./sim.ts"
@@ -28,6 +29,8 @@
   readonly capacity: number
   readonly neverBoots: number
   readonly teamMax: number
+  /** How often workers report, after how long unanswered they end, and how soon cancelled tasks are gone. */
+  readonly workers: { readonly report_s: number; readonly lease_s: number; readonly cancel_s: number }
   /** Requests and changes a second that the state service takes. */
   readonly stateRps: number
   readonly stateWrites: number
@@ -41,13 +44,12 @@
   capacity: 6,
   neverBoots: 0,
   teamMax: 64,
+  workers: { report_s: 3, lease_s: 27, cancel_s: 47 },
   stateRps: 200,
   stateWrites: 60,
   sockets: 2500,
 }
 
-const WORKERS = { report_s: 3, lease_s: 27, cancel_s: 47 }
-
 interface Life {
   readonly process: Process
   readonly hear: { receive: ((frame: Uint8Array) => void) | null }
@@ -70,6 +72,11 @@
   readonly names: ReadonlyArray<NodeName>
   private readonly lives = new Map<NodeName, Life>()
   readonly logged: Array<string> = []
+  /** Pairs of troubles that the scenario names, in order. */
+  readonly pairs: Array<DrawnPair> = []
+  readonly effects = new EffectObserver(this)
+  /** When a controller last started again after it had ended. */
+  lastReturnAt = Number.NEGATIVE_INFINITY
   private births = 0
   /** Bytes between controllers, the most commands under way at one, the most machines that reported to one last. */
   readonly count = { peerBytes: 0, commandsAtOnce: 0, workersAtOne: 0 }
@@ -84,14 +91,14 @@
       machineType("small", 8, 32, 0.6, 0.12, 6, setup.zones),
       machineType("large", 32, 128, 3, 0.6, 12, setup.zones),
     ]
-    this.rules = new Rules(this.sim, this.platform(0).facts.teams, types, WORKERS.cancel_s)
+    this.rules = new Rules(this.sim, this.platform(0).facts.teams, types, setup.workers.cancel_s)
     this.state = new StateService(this.sim, this.net, this.platform(0).facts.state)
     this.cloud = new Cloud(this.sim, this.net, this.rules, {
       types,
       capacity: setup.capacity,
       lagMs: 3_000,
       nodes: this.names,
-      times: WORKERS,
+      times: setup.workers,
       neverBoots: setup.neverBoots,
     })
     this.users = new Users(this.sim, this.net, this.rules.users, this.names)
@@ -124,7 +131,7 @@
           { name: "blue", cpus: teamMax / 2, cpus_max: teamMax, gpus: 0, gpus_max: 0 },
         ],
         objectives: [{ kind: "wait", class: "bulk", within_s: 60, share: 0.9 }],
-        workers: WORKERS,
+        workers: this.setup.workers,
         state: { rps: stateRps, write_rps: stateWrites, value_kb: 4, txn_ops: 8 },
         cloud: { rps: 6, list_lag_s: 3 },
         machine_limits: { cores: 0.4, mem_mb: 300, fd_limit: sockets },
@@ -237,7 +244,18 @@
     this.lives.get(name)?.process.kill()
     this.lives.delete(name)
     this.net.close(name)
-    this.sim.after(backAfterMs, () => this.start(name))
+    this.sim.after(backAfterMs, () => {
+      this.lastReturnAt = this.sim.now
+      this.start(name)
+    })
+  }
+
+  /** The controller that the state service names as the owner of the deadline jobs; the first one if none is. */
+  leader(): NodeName {
+    const record = this.state.keys.get("s/part/deadline")?.v as
+      | { readonly owner: NodeName | null }
+      | undefined
+    return record?.owner ?? this.names[0]!
   }
 
   // --- trouble ----------------------------------------------------------------
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -34,4 +34,5 @@
   // esbuild itself, which one test uses, stays outside of the bundle.
   await build({ ...common, entryPoints: tests, outdir: "target/tests", external: ["esbuild"] })
   await build({ ...common, entryPoints: ["packages/testkit/src/once.ts"], outfile: "target/scenario.js" })
+  await build({ ...common, entryPoints: ["packages/testkit/src/sweep.ts"], outfile: "target/sweep.js" })
 }
