--- a/packages/testkit/src/actions.ts
+++ b/packages/testkit/src/actions.ts
@@ -12,4 +12,4 @@
 
 /** The controller named by the first argument, or whoever leads at that moment. */
 export const node = (world: World, args: Args): NodeName =>
-  args[0] === "leader" ? world.leader() : (args[0] as NodeName)
+  args[0] === "leader" ? world.membershipTroubles.leader() : (args[0] as NodeName)
--- a/packages/testkit/src/effects.ts
+++ b/packages/testkit/src/effects.ts
@@ -55,7 +55,7 @@
     "machines-silent": () => this.machineIsSilent(),
     "work-lost": () => this.within(this.world.rules.workLostAt, WORK_LOST_LASTS_MS),
     cancelling: () => this.world.rules.cancellationUnderWay(),
-    "user-pressure": () => this.world.userTroubles.areOn(),
+    "user-pressure": () => this.world.userTroubles.areOn() || this.world.membershipTroubles.areOn(),
     "fast-boots": () => this.world.cloud.settings.bootWithinMs !== null,
     "after-return": () => this.within(this.lastReturn(), RETURN_LASTS_MS),
   }
--- a/packages/testkit/src/scenario.ts
+++ b/packages/testkit/src/scenario.ts
@@ -2,6 +2,7 @@
 import { type Form, parse } from "sexpr-plus"
 import { type Action, type Args, node, number } from "./actions.ts"
 import { type TroubleEffect, troubleEffects } from "./effects.ts"
+import { membershipActions } from "./membership-actions.ts"
 import { troubleActions } from "./trouble-actions.ts"
 import { HARMLESS, userActions, userExpectations } from "./user-actions.ts"
 import { type Sending, type Setup, usualSetup, World } from "./world.ts"
@@ -59,6 +60,7 @@
 const actions: Record<string, Action> = {
   ...troubleActions,
   ...userActions,
+  ...membershipActions,
   submit: (world, args) =>
     world.users.submit(jobFrom(`run-${String(++jobCount).padStart(6, "0")}` as JobId, args)),
   /** Many jobs: how many, over how many seconds, then what each is like. */
--- a/packages/testkit/src/trouble-kinds.ts
+++ b/packages/testkit/src/trouble-kinds.ts
@@ -96,6 +96,34 @@
       ],
     }
   }),
+  kind("end-leaders", (luck) => {
+    const times = whole(luck, 3, 10)
+    const everyS = luck.pick([1, 3, 8, 12])
+    const backS = luck.pick([0.2, 1, 4])
+    return {
+      form: `(end-leaders ${times} ${everyS} ${backS})`,
+      lastsS: times * everyS,
+      windows: window("take-over", 0.3, times * everyS),
+    }
+  }),
+  kind("end-each", (luck, { nodes }) => {
+    const everyS = luck.pick([0.2, 1, 5])
+    const backS = luck.pick([0.2, 1, 8])
+    const lastsS = nodes * everyS + backS
+    return {
+      form: `(end-each ${everyS} ${backS})`,
+      lastsS,
+      windows: [...window("take-over", 0.3, lastsS), ...afterReturn(lastsS)],
+    }
+  }),
+  kind("cancel-at-hand-overs", (luck) => {
+    const lastsS = whole(luck, 20, 60)
+    return {
+      form: `(cancel-at-hand-overs ${whole(luck, 1, 3)} ${lastsS})`,
+      lastsS,
+      windows: window("user-pressure", 0, lastsS),
+    }
+  }),
   kind("state-outage", (luck, settings) => {
     const lastsS = luck.chance(0.6) ? whole(luck, 3, 25) : whole(luck, settings.cancelS, settings.cancelS + 8)
     return {
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -14,6 +14,7 @@
 import { Effect, Exit, Random } from "effect"
 import { Cloud } from "./cloud.ts"
 import { type DrawnPair, EffectObserver } from "./effects.ts"
+import { MembershipTroubles } from "./membership-troubles.ts"
 import { type Answer, Net, type Request } from "./net.ts"
 import { Rules } from "./rules.ts"
 import { type Process, Sim } from "./sim.ts"
@@ -30,13 +31,13 @@
   readonly capacity: number
   readonly neverBoots: number
   readonly teamMax: number
-  /** How often workers report, after how long unanswered they end, and how soon cancelled tasks are gone. */
-  readonly workers: { readonly report_s: number; readonly lease_s: number; readonly cancel_s: number }
   /** Requests and changes a second that the state service takes. */
   readonly stateRps: number
   readonly stateWrites: number
   /** That a controller may have open. */
   readonly sockets: number
+  /** How often workers report, after how long unanswered they end, and how soon cancelled tasks are gone. */
+  readonly workers: { readonly report_s: number; readonly lease_s: number; readonly cancel_s: number }
 }
 export const usualSetup: Setup = {
   seed: 1,
@@ -45,10 +46,10 @@
   capacity: 6,
   neverBoots: 0,
   teamMax: 64,
-  workers: { report_s: 3, lease_s: 27, cancel_s: 47 },
   stateRps: 200,
   stateWrites: 60,
   sockets: 2500,
+  workers: { report_s: 3, lease_s: 27, cancel_s: 47 },
 }
 
 interface Life {
@@ -70,6 +71,7 @@
   readonly troubles: Troubles
   readonly users: Users
   readonly userTroubles: UserTroubles
+  readonly membershipTroubles: MembershipTroubles
   readonly names: ReadonlyArray<NodeName>
   private readonly lives = new Map<NodeName, Life>()
   readonly logged: Array<string> = []
@@ -106,6 +108,7 @@
     this.users = new Users(this.sim, this.net, this.rules.users, this.names)
     this.userTroubles = new UserTroubles(this.sim, this.users, this.rules)
     this.troubles = new Troubles(this)
+    this.membershipTroubles = new MembershipTroubles(this)
     for (let i = 0; i < setup.nodes; i++) this.sim.after(i * 150, () => this.start(this.names[i]!))
     const waiting = new WaitingRule(this.sim, this.rules, this.cloud)
     const look = () => {
@@ -220,6 +223,7 @@
             onExit: (exit) => {
               const outgoing = Exit.isSuccess(exit) ? exit.value : { status: 503, body: {} }
               const report = request.path === "/v1/report" && outgoing.status === 200
+              if (report) this.membershipTroubles.answered(name, from)
               if (outgoing.status === 200) this.troubles.answered(name, request.path)
               send(report ? "answer" : null, () => answer(outgoing))
             },
@@ -246,6 +250,7 @@
   }
 
   crash(name: NodeName, backAfterMs: number): void {
+    this.rules.trouble(backAfterMs)
     this.rules.lastCrashAt = this.sim.now
     this.lives.get(name)?.process.kill()
     this.lives.delete(name)
@@ -256,14 +261,6 @@
     })
   }
 
-  /** The controller that the state service names as the owner of the deadline jobs; the first one if none is. */
-  leader(): NodeName {
-    const record = this.state.keys.get("s/part/deadline")?.v as
-      | { readonly owner: NodeName | null }
-      | undefined
-    return record?.owner ?? this.names[0]!
-  }
-
   // --- trouble ----------------------------------------------------------------
 
   /** It stands still while its clocks run on: at once, or in the middle of sending something. */
