--- a/packages/testkit/src/random-day.ts
+++ b/packages/testkit/src/random-day.ts
@@ -48,6 +48,7 @@
   leaseS: 27,
   cancelS: 47,
   teamLimit: 48,
+  capacity: 6,
   stateRps: 200,
   stateWrites: 60,
 }
@@ -67,6 +68,7 @@
     () => ({ ...usual, nodes: 2 }),
     () => ({ ...usual, nodes: 7, zones: ["a", "b", "c"] }),
     () => ({ ...usual, zones: ["a"] }),
+    () => ({ ...usual, capacity: 1 }),
     () => ({ ...usual, stateRps: 150, stateWrites: 15 }),
   ])()
 }
@@ -137,11 +139,11 @@
   }
   const begin = troubles.filter(({ form, meets }) => form !== "" || meets !== null)
   const lines = [...users.map(userLine), ...begin.map(troubleLine)].sort((a, b) => a.atS - b.atS)
-  const { nodes, zones, leaseS, cancelS, teamLimit, stateRps, stateWrites } = settings
-  // More work than the team's limit takes has to wait, the largest jobs too.
+  const { nodes, zones, leaseS, cancelS, teamLimit, capacity, stateRps, stateWrites } = settings
+  // More work than fits within the team's limit has to wait, the largest jobs too.
   const begunWithinS = BEGUN_WITHIN_S + Math.ceil(busiestTeamS(users, settings))
   return `(scenario "random day ${seed}" (seed ${seed}) (until ${UNTIL_S}) (nodes ${nodes}) (zones ${zones.join(" ")})
-  (workers 3 ${leaseS} ${cancelS}) (state-limits ${stateRps} ${stateWrites}) (team-limit ${teamLimit}) (never-boots 0.05)
+  (workers 3 ${leaseS} ${cancelS}) (state-limits ${stateRps} ${stateWrites}) (team-limit ${teamLimit}) (capacity ${capacity}) (never-boots 0.05)
   ${lines.map(({ text }) => text).join("\n  ")}
   (expect (all-over) (served) (largest-begun-within ${begunWithinS})))`
 }
--- a/packages/testkit/src/random-jobs.ts
+++ b/packages/testkit/src/random-jobs.ts
@@ -16,6 +16,7 @@
   readonly others: string
 }
 
+const LARGE_MACHINE_CORES = 32
 const TEAMS = ["red", "blue"]
 const SUBMISSIONS_UNTIL_S = 130
 /** Jobs submitted longer ago are mostly over. */
@@ -97,15 +98,18 @@
 export const drawUsers = (luck: Luck, settings: DaySettings): ReadonlyArray<UserEvent> =>
   luck.pick([mixedJobs, mixedJobs, oneTaskJobs, longJobs])(luck, settings)
 
-/** How long the busiest team's work takes at its limit. */
-export const busiestTeamS = (users: ReadonlyArray<UserEvent>, { teamLimit }: DaySettings): number => {
+/** How long the busiest team's work takes at its limit, or on the large machines of one zone and kind. */
+export const busiestTeamS = (
+  users: ReadonlyArray<UserEvent>,
+  { teamLimit, capacity }: DaySettings,
+): number => {
   const coreSeconds = new Map(TEAMS.map((team) => [team, 0]))
   for (const event of users) {
     if (event.does !== "submit") continue
     const { owner, pieces, cores, runS } = event.wanted
     coreSeconds.set(owner, coreSeconds.get(owner)! + pieces * cores * runS)
   }
-  return Math.max(...coreSeconds.values()) / teamLimit
+  return Math.max(...coreSeconds.values()) / Math.min(teamLimit, capacity * LARGE_MACHINE_CORES)
 }
 
 /** Cancels some of the jobs that were submitted within the last minute or so, all within a moment. */
--- a/packages/testkit/src/trouble-kinds.ts
+++ b/packages/testkit/src/trouble-kinds.ts
@@ -9,6 +9,8 @@
   readonly leaseS: number
   readonly cancelS: number
   readonly teamLimit: number
+  /** Machines to be had of each type, zone and kind. */
+  readonly capacity: number
   readonly stateRps: number
   readonly stateWrites: number
 }
@@ -348,6 +350,14 @@
       windows: window("messages-astray", 0, lastsS),
     }
   }),
+  kind("slow-links", (luck) => {
+    const lastsS = whole(luck, 10, 40)
+    return {
+      form: `(slow-links ${luck.pick([0.1, 0.4, 0.8])} ${lastsS})`,
+      lastsS,
+      windows: window("messages-astray", 0, lastsS),
+    }
+  }),
   kind("repeat-messages", (luck) => {
     const lastsS = whole(luck, 5, 30)
     return {
