--- a/packages/testkit/src/net.ts
+++ b/packages/testkit/src/net.ts
@@ -41,6 +41,8 @@
   private readonly servers = new Map<string, Server>()
   private readonly connectionsEnd = new Set<string>()
   private readonly cuts = new Set<Cut>()
+  /** When the last cut healed. */
+  lastHealedAt = Number.NEGATIVE_INFINITY
   private readonly interceptors = new Set<Interceptor>()
   loss = 0
   repeat = 0
@@ -63,6 +65,13 @@
     this.servers.delete(host)
   }
 
+  isCut(): boolean {
+    return this.cuts.size > 0
+  }
+  isUnreliable(): boolean {
+    return this.loss > 0 || this.repeat > 0 || this.slowMs > 0 || this.interceptors.size > 0
+  }
+
   /** Returns how to heal it. */
   cut(apart: Cut["apart"], mode: CutMode): () => void {
     return this.open({ apart, mode, oneWay: false, held: [] })
@@ -74,6 +83,7 @@
     this.cuts.add(cut)
     return () => {
       this.cuts.delete(cut)
+      this.lastHealedAt = this.sim.now
       for (const deliver of cut.held) this.sim.after(this.sim.luck.between(0, 50), deliver)
     }
   }
@@ -81,7 +91,10 @@
   /** Looks at every request before it sets out; returns how to end this. */
   intercept(interceptor: Interceptor): () => void {
     this.interceptors.add(interceptor)
-    return () => this.interceptors.delete(interceptor)
+    return () => {
+      this.interceptors.delete(interceptor)
+      this.lastHealedAt = this.sim.now
+    }
   }
   private verdict(from: string, to: string, request: Request, text: string): Verdict {
     const deliverCopy: Departure["deliverCopy"] = (host, afterMs, answered = () => {}) => {
--- a/packages/testkit/src/trouble-actions.ts
+++ b/packages/testkit/src/trouble-actions.ts
@@ -11,9 +11,9 @@
   "cut-zone": (world, args) => world.troubles.cutZone(args[0]!, number(args, 1, 30) * 1000, mode(args, 2)),
   "refuse-peers": (world, args) => world.troubles.refusePeers(number(args, 0, 20) * 1000),
   die: (world, args) => world.troubles.die(number(args, 0, 1)),
-  "cut-peers": (world, args) => world.troubles.cutPeers(node(args), number(args, 1, 20) * 1000),
+  "cut-peers": (world, args) => world.troubles.cutPeers(node(world, args), number(args, 1, 20) * 1000),
   "cut-orders": (world, args) => world.troubles.cutOrders(number(args, 0, 20) * 1000),
-  isolate: (world, args) => world.troubles.isolate(node(args), number(args, 1, 20) * 1000),
+  isolate: (world, args) => world.troubles.isolate(node(world, args), number(args, 1, 20) * 1000),
   "machines-receive-nothing": (world, args) =>
     world.troubles.machinesReceiveNothing(number(args, 0, 1), number(args, 1, 20) * 1000),
   "machines-send-nothing": (world, args) =>
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -13,6 +13,7 @@
 } from "@sorreltally/wire"
 import { Effect, Exit, Random } from "effect"
 import { Cloud } from "./cloud.ts"
+import { type DrawnPair, EffectObserver } from "./effects.ts"
 import { LimitMeetings } from "./limit-meetings.ts"
 import { MembershipTroubles } from "./membership-troubles.ts"
 import { type Answer, Net, type Request } from "./net.ts"
@@ -76,6 +77,11 @@
   readonly names: ReadonlyArray<NodeName>
   private readonly lives = new Map<NodeName, Life>()
   readonly logged: Array<string> = []
+  /** Pairs of troubles that the scenario names, in order. */
+  readonly pairs: Array<DrawnPair> = []
+  readonly effects = new EffectObserver(this)
+  /** When a controller last started again after it had ended. */
+  lastReturnAt = Number.NEGATIVE_INFINITY
   private births = 0
   /** Bytes between controllers, the most commands under way at one, the most machines that reported to one last. */
   readonly count = { peerBytes: 0, commandsAtOnce: 0, workersAtOne: 0 }
@@ -247,12 +253,16 @@
   }
 
   crash(name: NodeName, backAfterMs: number): void {
+    this.rules.trouble(backAfterMs)
     this.rules.lastCrashAt = this.sim.now
     this.limitMeetings.crashed(name)
     this.lives.get(name)?.process.kill()
     this.lives.delete(name)
     this.net.close(name)
-    this.sim.after(backAfterMs, () => this.start(name))
+    this.sim.after(backAfterMs, () => {
+      this.lastReturnAt = this.sim.now
+      this.start(name)
+    })
   }
 
   // --- trouble ----------------------------------------------------------------
