Worker sessions by concern: images, commands, starts that may still take effect

Names of the field instead of our own: what was loose, flying, pushed, kept, reborn, fenced and deaf.

--- a/packages/controller/src/engine.ts
+++ b/packages/controller/src/engine.ts
@@ -358,7 +358,7 @@
         if (decoded.success.host !== session.id) return
         const outcomes = session.observe(decoded.success, "direct", time.moment())
         if (outcomes !== null) this.apply(session, outcomes)
-        else if (session.reborn(decoded.success, since, time.moment()))
+        else if (session.restarted(decoded.success, since, time.moment()))
           this.ctx.log.info("worker began anew", { machine: session.id, tenure: decoded.success.tenure })
         this.afterBody(session)
       }).pipe(Effect.ensuring(Effect.sync(() => this.inspecting.delete(session.id)))),
@@ -366,11 +366,11 @@
   }
 
   private afterBody(session: WorkerSession): void {
-    if (session.needsFence() && !this.blocks.isEditing(session.id)) {
-      if (session.deafSince !== null)
+    if (session.needsHigherToken() && !this.blocks.isEditing(session.id)) {
+      if (session.receivesNothingSince !== null)
         this.ctx.log.info("machine has to show that it hears", { machine: session.id })
       this.blocks.edit(session.id, { kind: "fence" }, (done) => {
-        if (done) session.fenced()
+        if (done) session.tokenRaised()
       })
     }
     if (session.warningUntil !== null) this.planSignal.notify()
@@ -640,7 +640,11 @@
     const { id } = session
     const tenancy = this.tenancies.get(id)
     if (tenancy === undefined || tenancy.moving || tenancy.returning || this.blocks.isEditing(id)) return
-    if (!session.empty((task) => this.registry.finishIsDurable(task)) || session.deafSince !== null) return
+    if (
+      !session.empty((task) => this.registry.finishIsDurable(task)) ||
+      session.receivesNothingSince !== null
+    )
+      return
     if (this.ctx.membership.owner(to) === null) return
     tenancy.moving = true
     tenancy.holder = null
--- a/packages/controller/src/rentals.ts
+++ b/packages/controller/src/rentals.ts
@@ -34,7 +34,7 @@
 /** Reports come as often as the settings say, give or take a quarter. */
 const REPORT_OVERDUE = 1.35
 /** A machine that can't be made to show that it hears us this long is given back. */
-const DEAF_MS = 12_000
+const RECEIVES_NOTHING_MS = 12_000
 
 export interface RentalEvents {
   readonly changed: () => void
@@ -298,7 +298,11 @@
     const overdue = heldMs > session.type.startup_s * NEVER_BOOTED * 1000
     if (overdue && session.lastHeard === NEVER && listed?.status === "booting" && listIsNew)
       return "never came up"
-    if (session.deafSince !== null && now > later(session.deafSince, DEAF_MS)) return "hears nothing"
+    if (
+      session.receivesNothingSince !== null &&
+      now > later(session.receivesNothingSince, RECEIVES_NOTHING_MS)
+    )
+      return "hears nothing"
     return null
   }
 }
--- a/packages/workers/src/index.ts
+++ b/packages/workers/src/index.ts
@@ -1,1 +1,2 @@
+export * from "./model.ts"
 export * from "./session.ts"
--- /dev/null
+++ b/packages/workers/src/start-tracker.ts
@@ -0,0 +1,124 @@
+import { type Attempt, later, type Moment, type TaskId, type Tick, type Token } from "@sorreltally/wire"
+
+/** A worker drops an answer to a report this long after sending it. */
+const ANSWER_LIFE_MS = 4_000
+/** Copies of orders later than this are not expected. */
+const COPIES_COME_MS = 180_000
+
+/** What a body proves about the starts that were sent before it. */
+export interface Evidence {
+  /** The token of our commands, and whether the worker has shown it. */
+  readonly token: Token
+  readonly confirmed: boolean
+  /** Counter of the worker's last body, and whether that is a report. */
+  readonly tick: Tick
+  readonly isReport: boolean
+  readonly now: Moment
+}
+interface AnsweredStart {
+  readonly tick: Tick
+  readonly at: Moment
+}
+interface DirectStart {
+  readonly token: Token
+  readonly at: Moment
+}
+
+const keyOf = (task: TaskId, attempt: Attempt): string => `${task}#${attempt}`
+
+/**
+ * The starts sent to one worker, and which of them may still take effect: only
+ * when none may does the absence of a task prove that it won't run.
+ */
+export class StartTracker {
+  /** Starts that went out by `/orders` and have no answer yet. */
+  private readonly inFlight = new Map<string, number>()
+  /**
+   * Token under which a start by `/orders` got no answer. It may be executed
+   * minutes later, until the worker has seen a higher token.
+   */
+  private unansweredToken: Token | null = null
+  /** Starts that went with the answer to a report. */
+  private readonly inAnswers = new Map<string, AnsweredStart>()
+  /** Attempts whose start went out by `/orders`, under which token and when last. */
+  private readonly direct = new Map<string, DirectStart>()
+
+  /** A new session of the worker: starts sent under the former one are refused. */
+  sessionBegan(): void {
+    this.inAnswers.clear()
+    this.direct.clear()
+  }
+  /** The worker began anew; copies of direct commands to its former self may still come. */
+  workerRestarted(): void {
+    this.inAnswers.clear()
+  }
+  /** The worker has shown this token: commands with a lower one are refused. */
+  tokenShown(token: Token): void {
+    if (this.unansweredToken !== null && token > this.unansweredToken) this.unansweredToken = null
+  }
+  /** Tasks that are neither on the machine nor placed there need no memory of their direct starts. */
+  keepDirect(isKnown: (task: TaskId) => boolean): void {
+    for (const key of this.direct.keys())
+      if (!isKnown(key.slice(0, key.indexOf("#")) as TaskId)) this.direct.delete(key)
+  }
+
+  inAnswer(task: TaskId, attempt: Attempt, tick: Tick, now: Moment): void {
+    this.inAnswers.set(keyOf(task, attempt), { tick, at: now })
+  }
+  /** Answers that the worker has taken or dropped by now. */
+  dropOldAnswers(now: Moment): void {
+    for (const [key, { at }] of this.inAnswers)
+      if (now > later(at, 2 * ANSWER_LIFE_MS)) this.inAnswers.delete(key)
+  }
+  sending(task: TaskId, attempt: Attempt, token: Token, now: Moment): void {
+    const key = keyOf(task, attempt)
+    this.inFlight.set(key, (this.inFlight.get(key) ?? 0) + 1)
+    this.direct.set(key, { token, at: now })
+  }
+  sent(task: TaskId, attempt: Attempt, token: Token, answered: boolean): void {
+    const key = keyOf(task, attempt)
+    const left = (this.inFlight.get(key) ?? 1) - 1
+    if (left === 0) this.inFlight.delete(key)
+    else this.inFlight.set(key, left)
+    if (answered) return
+    // Guards against a start that is carried out after its absence was taken for proof.
+    if (this.unansweredToken === null || this.unansweredToken < token) this.unansweredToken = token
+  }
+
+  /** A start under the current token got no answer: nothing is sure until a higher one is shown. */
+  hasUnanswered(token: Token): boolean {
+    return this.unansweredToken !== null && this.unansweredToken === token
+  }
+  /** A direct start of this attempt may still be on its way. */
+  mayBeUnderWay(task: TaskId, attempt: Attempt, token: Token): boolean {
+    return this.unansweredToken === token || this.inFlight.has(keyOf(task, attempt))
+  }
+  /** No start of this attempt can still take effect, as far as the evidence goes. */
+  isSettled(task: TaskId, attempt: Attempt, { token, confirmed, tick, isReport, now }: Evidence): boolean {
+    const key = keyOf(task, attempt)
+    if (!confirmed || this.unansweredToken === token) return false
+    // Guards against a start that is still on its way when a report without the task arrives.
+    if ((this.inFlight.get(key) ?? 0) > 0) return false
+    const answered = this.inAnswers.get(key)
+    if (answered === undefined) return true
+    // A worker has one report under way at a time, so a later report was made
+    // after our answer arrived or was dropped.
+    return (isReport && tick > answered.tick) || now > later(answered.at, 2 * ANSWER_LIFE_MS)
+  }
+  /**
+   * May an exited task be forgotten? A copy of `/orders` that was carried out
+   * may still come. While the worker knows the attempt, its start does nothing;
+   * after `forget` it would start the task again, done or not. Former owners'
+   * are dead once the worker has seen our token, and starts in an answer to a
+   * report never come late.
+   */
+  mayForget(task: TaskId, attempt: Attempt, token: Token, confirmed: boolean, now: Moment): boolean {
+    const sent = this.direct.get(keyOf(task, attempt))
+    if (sent === undefined) return confirmed
+    return (confirmed && token > sent.token) || now > later(sent.at, COPIES_COME_MS)
+  }
+  /** Its direct start carried this token: it can't be forgotten before a higher one is shown. */
+  wasSentUnder(task: TaskId, attempt: Attempt, token: Token): boolean {
+    return this.direct.get(keyOf(task, attempt))?.token === token
+  }
+}
--- a/packages/workers/test/session.test.ts
+++ b/packages/workers/test/session.test.ts
@@ -13,7 +13,7 @@
   TaskId,
   Token,
 } from "@sorreltally/wire"
-import { type MachineEntry, WorkerSession } from "../src/session.ts"
+import { type MachineEntry, WorkerSession } from "../src/index.ts"
 
 const at = (seconds: number) => (seconds * 1000) as Moment
 const EPOCH = 7
@@ -104,7 +104,7 @@
   // It got no answer: it may come minutes later, until a higher token was seen.
   s.sent(start, s.token, false)
   assert.deepEqual(s.observe(report(3), "report", at(9)), [])
-  assert.equal(s.needsFence(), true)
+  assert.equal(s.needsHigherToken(), true)
   s.update({ ...entry, token: 20 as Token })
   assert.deepEqual(s.observe(report(4), "report", at(10)), [])
   const outcomes = s.observe(report(5, { baton: 20 }), "report", at(11))
@@ -184,9 +184,9 @@
   s.answering([], at(1))
   s.observe(report(2, { tenure: 2 }), "report", at(2))
   assert.equal(s.usable(at(2)), false)
-  assert.equal(s.needsFence(), true)
+  assert.equal(s.needsHigherToken(), true)
   s.update({ ...entry, token: 20 as Token })
-  s.fenced()
+  s.tokenRaised()
   s.observe(report(3, { tenure: 2 }), "report", at(3))
   assert.equal(s.usable(at(3)), false)
   s.observe(report(4, { tenure: 2, baton: 20 }), "report", at(4))
@@ -210,10 +210,10 @@
   place(s)
   const before = s.standing()
   assert.equal(s.observe(report(1), "report", at(9)), null)
-  assert.equal(s.reborn(report(2), before, at(9)), true)
+  assert.equal(s.restarted(report(2), before, at(9)), true)
   assert.equal(s.usable(at(9)), false)
   s.update({ ...entry, token: 20 as Token })
-  s.fenced()
+  s.tokenRaised()
   assert.deepEqual(s.observe(report(3), "report", at(10)), [])
   const outcomes = s.observe(report(4, { baton: 20 }), "report", at(11))
   assert.deepEqual(
@@ -264,9 +264,9 @@
   const pieces = tasks.map((piece) => ({ piece, try: 9, status: "exited", cause: "done" }))
   s.observe(report(2, { pieces }), "report", at(30))
   s.orders(at(30), durable)
-  assert.equal(s.needsFence(), true)
+  assert.equal(s.needsHigherToken(), true)
   s.update({ ...entry, token: 20 as Token })
   s.observe(report(3, { pieces }), "report", at(31))
   s.orders(at(31), durable)
-  assert.equal(s.needsFence(), false)
+  assert.equal(s.needsHigherToken(), false)
 })
--- a/scenarios/held-commands.sexp
+++ b/scenarios/held-commands.sexp
@@ -4,5 +4,5 @@
   (at 19.5 (late-commands 1 5)) (at 20 (submit pieces 4 cores 8 run 40 due 80 zone a)) (at 20.6 (cancel 2))
   (at 20.7 (submit pieces 4 cores 8 run 20 due 60 zone b)) (at 30 (hang 4 12)) (at 31 (submit pieces 4 cores 4 run 4 due 60 owner blue))
   (expect (all-over) (begun-within 60) (happened "late commands carried out" 1))
-  (guard "packages/workers/src/session.ts" "if (this.loose === null || this.loose < token) this.loose = token" "")
-  (guard "packages/workers/src/session.ts" "|| (this.flying.get(key) ?? 0) > 0" ""))
+  (guard "packages/workers/src/start-tracker.ts" "if (this.unansweredToken === null || this.unansweredToken < token) this.unansweredToken = token" "")
+  (guard "packages/workers/src/start-tracker.ts" "if ((this.inFlight.get(key) ?? 0) > 0) return false" ""))
