--- a/packages/controller/test/quota-needs.test.ts
+++ b/packages/controller/test/quota-needs.test.ts
@@ -21,7 +21,8 @@
     urgency: "standard",
     ...more,
   }
-  return new JobState(id, { request, submitted: NOW - ageS * 1000 } as unknown as JobRecord, 1 as Stamp)
+  const record = { request, submitted: NOW - ageS * 1000 } as unknown as JobRecord
+  return new JobState(id, record, "s/job/0.0", 1 as Stamp)
 }
 const teams = [{ name: red, cpus: 50, cpus_max: 320, gpus: 0, gpus_max: 0 }]
 const part = (...jobs: ReadonlyArray<JobState>): PartView =>
