Room is made for each job by itself again; machines are emptied only where limits bind

Counting the tasks that stops make room for once a team, not once a job, took from urgent work: what is stopped is often of the same team and frees its quota. Stops are counted as before; only what is asked of other parts and of the cloud is bounded over all jobs.

Emptying a machine for others needed only free room here, which also fragments make; it now needs a job of ours that its team's limit holds back.

The guard of the scenario of a leader change moved with its source.

--- a/packages/controller/src/machine-needs.ts
+++ b/packages/controller/src/machine-needs.ts
@@ -16,15 +16,18 @@
 
 export const machineNeeds = (part: PartName, unplaced: ReadonlyArray<Unplaced>): ReadonlyArray<Need> => [
   ...starvedNeeds(part, unplaced),
-  ...unplaced.slice(0, NEEDS_TOLD).map(
-    ({ job, tasks, pressing }): Need => ({
-      part,
-      shape: shapeOf(job.request),
-      rank: job.rank,
-      tasks,
-      pressing: job.withinGuarantee ? pressing : 0,
-    }),
-  ),
+  ...unplaced
+    .filter(({ tasks }) => tasks > 0)
+    .slice(0, NEEDS_TOLD)
+    .map(
+      ({ job, tasks, pressing }): Need => ({
+        part,
+        shape: shapeOf(job.request),
+        rank: job.rank,
+        tasks,
+        pressing: job.withinGuarantee ? Math.min(pressing, tasks) : 0,
+      }),
+    ),
 ]
 
 /**
@@ -35,7 +38,7 @@
 const starvedNeeds = (part: PartName, unplaced: ReadonlyArray<Unplaced>): ReadonlyArray<Need> => {
   const byKind = new Map<string, { readonly first: JobView; tasks: number }>()
   for (const { job, tasks } of unplaced) {
-    if (!isStarved(job)) continue
+    if (tasks === 0 || !isStarved(job)) continue
     const kind = machinesOf(job)
     const alike = byKind.get(kind) ?? { first: job, tasks: 0 }
     alike.tasks += Math.min(tasks, tasksToBegin(job))
--- a/packages/planner/src/plan.ts
+++ b/packages/planner/src/plan.ts
@@ -104,7 +104,6 @@
 
   const rentable = new LimitRoom(snapshot.limits)
   const borrowable = new LimitRoom(snapshot.limits)
-  const startableNow = new LimitRoom(snapshot.teams)
   for (const job of jobs) {
     const placed = job.queued - (queued.get(job.id) ?? 0)
     rentable.take(job, placed)
@@ -129,12 +128,13 @@
     const room = rentable.tasksLeft(job)
     const allowedTasks = Math.min(pending, room)
     if (allowedTasks < pending) limited.push(job)
-    const borrowed = Math.min(pending, borrowable.tasksLeft(job))
-    if (job.mayStart && borrowed > 0) {
-      const startable = Math.min(pending, startableNow.tasksLeft(job))
-      unplaced.push({ job, tasks: borrowed, startable, pressing: Math.min(late, borrowed) })
-      borrowable.take(job, borrowed)
-      startableNow.take(job, startable)
+    // What is stopped for urgent work frees quota as well: here each job counts on its team's room for itself.
+    const alone = roomOf(job, snapshot.limits)
+    if (job.mayStart && alone > 0) {
+      const tasks = Math.min(pending, borrowable.tasksLeft(job))
+      const startable = Math.min(pending, roomOf(job, snapshot.teams))
+      unplaced.push({ job, tasks, startable, pressing: Math.min(late, alone) })
+      borrowable.take(job, tasks)
     }
     // The limit's room that tasks on machines that are up, or coming, will take is no reason to rent more.
     const onUp = expectOnUp(job, allowedTasks, zones.get(job.id) ?? job.zones, floor, snapshot.reserve)
@@ -162,7 +162,8 @@
     steadyWanted,
     unplaced,
     claims: rentable.taken(),
-    unusedCores: unusedCores(up),
+    // Otherwise it is fragments, or waits for a report: no reason to empty a machine.
+    unusedCores: limited.length > 0 ? unusedCores(up) : 0,
     idle: new Set(up.filter(isIdle).map(({ machine }) => machine.id)),
   }
 }
--- a/scenarios/limits-leader-change.sexp
+++ b/scenarios/limits-leader-change.sexp
@@ -8,4 +8,4 @@
   (expect (withdrawn 2) (all-over) (begun-within 45) (happened leaderChangesAtLimit) (happened cancelledOutOfReach 3) (happened cancelledBetweenLeaders 2))
   (guard "packages/controller/src/engine.ts" "if (job.withdrawn) job.stop(placement, { why: \"withdrawn\", leewayS: 0, since: now })" "if (job.withdrawn) job.clear(placement)")
   (guard "packages/controller/src/engine.ts" "else session.hold(placement)" "else job.clear(placement)")
-  (guard "packages/controller/src/engine.ts" "if (this.ready && job.ended)" "if (job.ended)"))
+  (guard "packages/controller/src/job-registry.ts" "if (this.events.ready() && job.ended)" "if (job.ended)"))
