--- a/packages/testkit/src/cloud.ts
+++ b/packages/testkit/src/cloud.ts
@@ -31,6 +31,8 @@
   /** Machines to be had in zones that differ from the others. */
   readonly zoneCapacity = new Map<string, number>()
   private down = false
+  /** When its last outage ended. */
+  lastBackAt = Number.NEGATIVE_INFINITY
   private history: Array<{ readonly at: number; readonly hosts: ReadonlyArray<Record<string, unknown>> }> = []
 
   constructor(
@@ -53,6 +55,10 @@
 
   outage(on: boolean): void {
     this.down = on
+    if (!on) this.lastBackAt = this.sim.now
+  }
+  isDown(): boolean {
+    return this.down
   }
   private listNow() {
     return [...this.machines.values()].map((m) => ({
--- a/packages/testkit/src/machines.ts
+++ b/packages/testkit/src/machines.ts
@@ -109,6 +109,7 @@
   hang(on: boolean): void {
     this.hung = on
     if (on) return
+    this.sim.lastResumedAt = this.sim.now
     const missed = this.missed
     this.missed = []
     for (const run of missed) run()
@@ -133,6 +134,11 @@
   get lastTick(): number {
     return this.tick
   }
+  /** How long ago the last answered report was sent, if the machine has tasks to lose. */
+  unansweredForMs(): number {
+    const running = this.status === "running" && this.tasks.size > 0
+    return running ? this.sim.now - this.lastAnswered : 0
+  }
   get isHung(): boolean {
     return this.hung
   }
@@ -174,8 +180,10 @@
     task.callOff()
     if (task.status === "running" && this.rules.submitted.get(task.job)?.site != null)
       this.sim.occurrences.count("tasks of jobs bound to a zone lost")
-    if (task.status === "running" || task.status === "flushing")
+    if (task.status === "running" || task.status === "flushing") {
+      this.rules.workLostAt = this.sim.now
       this.rules.ended(task.job, task.index, this.id)
+    }
     task.status = "gone"
   }
 
--- a/packages/testkit/src/membership-actions.ts
+++ b/packages/testkit/src/membership-actions.ts
@@ -24,5 +24,5 @@
   },
   /** A cancellation at one node; another one is asked when that one can't. */
   "cancel-at": (world, args) =>
-    world.users.cancel(world.users.jobs[number(args, 1, 0)]!, undefined, node(args)),
+    world.users.cancel(world.users.jobs[number(args, 1, 0)]!, undefined, node(world, args)),
 }
--- a/packages/testkit/src/membership-troubles.ts
+++ b/packages/testkit/src/membership-troubles.ts
@@ -52,6 +52,10 @@
     return live !== undefined && live.incarnation === incarnation
   }
 
+  /** Are jobs cancelled at hand-overs? */
+  areOn(): boolean {
+    return this.world.sim.now < this.cancelAtHandOvers.until
+  }
   /** The controller that owns the leader's part by the record; the first one if none does. */
   leader(): NodeName {
     const record = this.world.state.keys.get(`s/part/${DEADLINE}`)?.v as PartOnRecord | undefined
--- a/packages/testkit/src/scenario.ts
+++ b/packages/testkit/src/scenario.ts
@@ -1,6 +1,7 @@
 import type { JobId, JobRequest } from "@sorreltally/wire"
 import { type Form, parse } from "sexpr-plus"
 import { type Action, type Args, node, number } from "./actions.ts"
+import { type TroubleEffect, troubleEffects } from "./effects.ts"
 import { epochsOwnedTwice } from "./epoch-rule.ts"
 import { limitActions } from "./limit-actions.ts"
 import { membershipActions } from "./membership-actions.ts"
@@ -74,7 +75,7 @@
   resubmit: (world, args) => world.users.resubmit(job(world, args)),
   cancel: (world, args) => world.users.cancel(job(world, args)),
   "ask-about-nobody": (world) => world.users.askAboutNobody(),
-  crash: (world, args) => world.crash(node(args), number(args, 1, 4) * 1000),
+  crash: (world, args) => world.crash(node(world, args), number(args, 1, 4) * 1000),
   "crash-all": (world, args) => {
     for (const name of world.names) world.crash(name, number(args, 0, 4) * 1000)
   },
@@ -82,11 +83,17 @@
     world.cloud.outage(true)
     world.sim.after(number(args, 0, 10) * 1000, () => world.cloud.outage(false))
   },
+  /** Says which pair of troubles comes next, and notes whether the first one's effect is there. */
+  pair: (world, [first, effect, second]) => {
+    if (!troubleEffects.includes(effect as TroubleEffect)) throw new Error(`unknown effect ${effect}`)
+    const met = world.effects.has(effect as TroubleEffect)
+    world.pairs.push({ first: first!, effect: effect as TroubleEffect, second: second!, met })
+  },
   capacity: (world, args) => {
     world.cloud.settings.capacity = number(args, 0, 0)
   },
   freeze: (world, args) =>
-    world.freeze(node(args), number(args, 1, 30) * 1000, (args[2] ?? null) as Sending | null),
+    world.freeze(node(world, args), number(args, 1, 30) * 1000, (args[2] ?? null) as Sending | null),
 }
 
 const atMost = (what: string, count: number, args: Args): string | null =>
@@ -127,6 +134,11 @@
       : `${world.count.workersAtOne} workers at one node, not ${args[0]}`,
   "rented-at-least": (world, args) =>
     world.cloud.rented >= number(args, 0, 0) ? null : `${world.cloud.rented} machines rented, not ${args[0]}`,
+  /** So many of the pairs that the scenario names really met. */
+  "pairs-met-at-least": (world, args) => {
+    const met = world.pairs.filter((pair) => pair.met).length
+    return met >= number(args, 0, 1) ? null : `${met} of ${world.pairs.length} pairs met, expected ${args[0]}`
+  },
   "no-machine": (world) => expectations["machines-at-most"]!(world, ["0"]),
   "log-has": (world, args) =>
     world.logged.some((l) => l.includes(args[0]!)) ? null : `never logged: ${args[0]}`,
@@ -198,7 +210,10 @@
           atS: Number(words(at!)[0]),
           action,
           args,
-          lastsS: name === "submit" || name === "stream" || HARMLESS.has(name ?? "") ? 0 : lastsS,
+          lastsS:
+            name === "submit" || name === "stream" || name === "pair" || HARMLESS.has(name ?? "")
+              ? 0
+              : lastsS,
         })
       }
     } else if (what === "expect") {
--- a/packages/testkit/src/state.ts
+++ b/packages/testkit/src/state.ts
@@ -35,6 +35,9 @@
   private readonly news: Array<News> = []
   private waiting: Array<() => void> = []
   private down = false
+  /** When it last came back for everybody or for one node. */
+  lastBackAt = Number.NEGATIVE_INFINITY
+  private readonly changedAt = new Map<string, number>()
   private readonly refused = new Set<string>()
   readonly faults: StateFaults
   readonly operations = new Operations()
@@ -74,12 +77,28 @@
 
   outage(on: boolean): void {
     this.down = on
-    if (!on) this.renewAll()
+    if (on) return
+    this.lastBackAt = this.sim.now
+    this.renewAll()
   }
   /** One node alone gets 503, and its leases run out. */
   refuse(node: string, on: boolean): void {
     if (on) this.refused.add(node)
     else this.refused.delete(node)
+    if (!on) this.lastBackAt = this.sim.now
+  }
+  isDown(): boolean {
+    return this.down
+  }
+  /** How much of a grant's time is over since it was made or touched; 0 if there is no such grant. */
+  grantShareOver(permit: number | null): number {
+    const grant = this.grants.get(permit ?? -1)
+    return grant === undefined ? 0 : 1 - (grant.until - this.sim.now) / grant.ttl
+  }
+  /** When a key with the prefix was last written or deleted. */
+  lastChangeAt(prefix: string): number {
+    const times = [...this.changedAt].filter(([path]) => path.startsWith(prefix)).map(([, at]) => at)
+    return Math.max(Number.NEGATIVE_INFINITY, ...times)
   }
   refuses(node: string): boolean {
     return this.refused.has(node)
@@ -197,6 +216,7 @@
     this.operations.note(path, this.keys.get(path)?.v, entry?.v)
     if (entry === null) this.keys.delete(path)
     else this.keys.set(path, entry)
+    this.changedAt.set(path, this.sim.now)
     this.news.push({ epoch: this.epoch, path, entry })
     if (this.news.length > KEPT_NEWS) this.news.shift()
     for (const listener of this.listeners) listener(path, entry?.v ?? null)
