--- a/packages/controller/src/blocks.ts
+++ b/packages/controller/src/blocks.ts
@@ -1,6 +1,7 @@
 import type { Membership } from "@sorreltally/membership"
 import { type BlockRecord, type Change, type Condition, keys, type StateClient } from "@sorreltally/state"
 import { ABSENT, type MachineId, type PartName, type Stamp, type Token } from "@sorreltally/wire"
+import type { MachineEntry } from "@sorreltally/workers"
 import { Effect, Result } from "effect"
 import { ADOPTED, type FleetBook, type Kind, originFor } from "./book.ts"
 import { Signal } from "./signal.ts"
@@ -15,8 +16,8 @@
 
 interface Queued {
   readonly edit: Edit
-  /** The machine's token when this was decided: every move and fence raises it. */
-  readonly token: Token | null
+  /** The machine's token when this was asked for: every move and fence raises it. */
+  readonly token: Token
   /** False: the machine wasn't ours any more. */
   readonly settled: (done: boolean) => void
 }
@@ -66,22 +67,20 @@
   ) {}
 
   edit(id: MachineId, edit: Edit, settled: (done: boolean) => void = () => {}): void {
-    if (this.isEditing(id)) return
-    this.edits.set(id, { edit, token: this.book.get(id)?.token ?? null, settled })
+    const entry = this.book.get(id)
+    const queued = this.edits.get(id)
+    if (queued !== undefined) {
+      const outcome = this.outcomeOf(queued, entry)
+      if (outcome === "open") return
+      queued.settled(outcome === "done")
+    }
+    this.edits.set(id, { edit, token: entry?.token ?? (0 as Token), settled })
     this.signal.notify()
   }
+  /** Guards against an edit that was overtaken standing in the way of what is decided next. */
   isEditing(id: MachineId): boolean {
     const queued = this.edits.get(id)
-    return queued !== undefined && !this.isOvertaken(id, queued)
-  }
-  /**
-   * Guards against a move that was carried out without an answer, and after
-   * which the machine came back: carried out once more, it would take the
-   * machine away with the tasks that it got meanwhile. What was deleted stays
-   * so, and is to be taken off the record whatever happened to it.
-   */
-  private isOvertaken(id: MachineId, { edit, token }: Queued): boolean {
-    return edit.kind !== "remove" && this.book.get(id)?.token !== token
+    return queued !== undefined && this.outcomeOf(queued, this.book.get(id)) === "open"
   }
   add(machines: NewMachines, adopted: boolean, settled: () => void): void {
     const most = blockSize(this.state.limits.value_kb)
@@ -171,6 +170,19 @@
     })
   }
 
+  /**
+   * Has this happened, or can't it happen any more? A move whose answer was lost
+   * may have been carried out, and the machine lent back to us since: repeated then, it would
+   * take the machine from under the tasks that were placed meanwhile (`ran_twice`).
+   */
+  private outcomeOf({ edit, token }: Queued, entry: MachineEntry | undefined): "open" | "done" | "void" {
+    const ours = entry !== undefined && entry.part === this.part
+    if (edit.kind === "remove") return ours ? "open" : "done"
+    if (!ours) return "void"
+    if (entry.token === token) return "open"
+    return edit.kind === "fence" ? "done" : "void"
+  }
+
   private writeEdits() {
     return Effect.gen({ self: this }, function* () {
       const urgent = [...this.edits.values()].some(({ edit }) => edit.kind !== "remove")
@@ -186,14 +198,10 @@
       const written: Array<[MachineId, Queued]> = []
       for (const [id, queued] of [...this.edits]) {
         const entry = this.book.get(id)
-        if (entry === undefined || entry.part !== this.part) {
-          this.edits.delete(id)
-          queued.settled(queued.edit.kind === "remove")
-          continue
-        }
-        if (this.isOvertaken(id, queued)) {
+        const outcome = this.outcomeOf(queued, entry)
+        if (entry === undefined || outcome !== "open") {
           this.edits.delete(id)
-          queued.settled(false)
+          queued.settled(outcome === "done")
           continue
         }
         let record = records.get(entry.block)
@@ -223,13 +231,14 @@
       }
       const done = yield* Effect.result(this.state.multi(when, apply, "paid"))
       if (Result.isFailure(done) || !done.success.ok) return yield* this.catchUp()
-      for (const [id, queued] of written) if (this.edits.get(id) === queued) this.edits.delete(id)
+      const current = written.filter(([id, queued]) => this.edits.get(id) === queued)
+      for (const [id] of current) this.edits.delete(id)
       const stamp = done.success.epoch
       for (const change of apply) {
         if ("set" in change) mirror.hint({ path: change.set, v: change.v, stamp })
         else mirror.bury(change.delete, stamp)
       }
-      for (const [, { settled }] of written) settled(true)
+      for (const [, { settled }] of current) settled(true)
     })
   }
 }
--- a/packages/controller/src/engine.ts
+++ b/packages/controller/src/engine.ts
@@ -1,7 +1,7 @@
-import { JobState, type Placement } from "@sorreltally/jobs"
-import { DEADLINE, partOf } from "@sorreltally/membership"
+import type { JobState, Placement } from "@sorreltally/jobs"
+import { DEADLINE } from "@sorreltally/membership"
 import {
-  goesFirst,
+  LimitRoom,
   type Load,
   lend,
   type MachineView,
@@ -10,12 +10,11 @@
   plan,
   type QuotaNeed,
   type Reserve,
-  shapeOf,
   slotsIn,
   type TeamRoom,
 } from "@sorreltally/planner"
 import { cancellationBudget } from "@sorreltally/settings"
-import { type Entry, type JobRecord, keys, type SlotRecord } from "@sorreltally/state"
+import { type Entry, keys } from "@sorreltally/state"
 import {
   type Attempt,
   decodeReport,
@@ -30,8 +29,6 @@
   type PartName,
   type Report,
   type Stamp,
-  splitTaskId,
-  type TaskId,
   type TeamName,
   taskId,
   urgencyRank,
@@ -40,23 +37,17 @@
 import { Effect, Result } from "effect"
 import { Arrivals } from "./arrivals.ts"
 import { BlockWriter } from "./blocks.ts"
-import { Commits } from "./commits.ts"
 import type { EngineContext, PartView, Tenancy } from "./context.ts"
+import { Draining } from "./draining.ts"
 import { HeldReports } from "./held.ts"
+import { JobRegistry } from "./job-registry.ts"
+import { machineNeeds } from "./machine-needs.ts"
 import { preempt } from "./preempt.ts"
+import { quotaNeeds, shareNeed, teamClaims, unusedCores } from "./quota-needs.ts"
 import { RENTAL_SIZE, Rentals } from "./rentals.ts"
 import { Shares } from "./shares.ts"
 import { Signal } from "./signal.ts"
-import {
-  jobViews,
-  loadOf,
-  machineViews,
-  quotaNeeds,
-  slotsInCores,
-  startTargets,
-  teamUse,
-  unusedCores,
-} from "./views.ts"
+import { jobViews, loadOf, machineViews, startTargets, teamUse } from "./views.ts"
 
 const PLAN_SPACING_MS = 120
 /** After a plan, everything else has the processor for this many times what the plan took. */
@@ -71,8 +62,6 @@
 /** While refused kinds of spot are asked again, steady machines stay as they were wanted before. */
 const STEADY_LINGERS_MS = 10_000
 const STATUS_EVERY_MS = 15_000
-/** Needs told to the other parts: the most urgent ones. */
-const NEEDS_TOLD = 4
 const ATTEMPTS_PER_EPOCH = 2 ** 20
 const NOTHING: TeamRoom = { cores: 0, accelerators: 0 }
 const NOT_OURS: Outgoing = { status: 503, body: {} }
@@ -83,14 +72,13 @@
  * the part is lost.
  */
 export class PartEngine implements PartView {
-  readonly jobs = new Map<JobId, JobState>()
   readonly machines = new Map<MachineId, WorkerSession>()
   readonly tenancies = new Map<MachineId, Tenancy>()
   private readonly inspecting = new Set<MachineId>()
   private readonly planSignal = new Signal()
   private readonly shares: Shares
   private readonly blocks: BlockWriter
-  private readonly commits: Commits
+  private readonly registry: JobRegistry
   private readonly rentals: Rentals
   /** Machines that have something to be told before their next report. */
   private readonly toTell = new Set<WorkerSession>()
@@ -98,6 +86,7 @@
   private mustWait = false
   private readonly gifts: Array<{ readonly to: PartName; readonly slots: number; readonly until: Moment }> =
     []
+  private readonly draining = new Draining()
   private readonly arrivals = new Arrivals()
   private reserveRank = Number.NEGATIVE_INFINITY
   private steadyWantedAt: Moment = NEVER
@@ -107,6 +96,8 @@
   private workWaits = false
   /** Empty machines that the last plan found no use for. */
   private idle: ReadonlySet<MachineId> = new Set()
+  /** Room on machines that are up for which it found none. */
+  private unusedCores = 0
   private lookedAt: Moment = NEVER
   private lately: { readonly at: Moment; readonly load: Load } | null = null
   private statusAt: Moment = NEVER
@@ -130,10 +121,14 @@
       this.planSignal.notify(),
     )
     this.blocks = new BlockWriter(part, epoch, membership.parts, state, membership, book, time.moment, active)
-    this.commits = new Commits(part, epoch, state, membership, time.moment, active, {
+    this.registry = new JobRegistry(part, epoch, ctx, active, {
       durable: (placements) => this.placed(placements),
-      ended: (jobs, stamp) => this.ended(jobs, stamp),
-      unwanted: (placement) => this.unplace(placement),
+      arrived: (request) => this.arrived(request),
+      changed: () => this.planSignal.notify(),
+      release: (placement) => this.machines.get(placement.machine)?.release(placement),
+      tell: (machine) => this.tell(machine),
+      forgotten: (job) => this.releaseHolder(job),
+      ready: () => this.ready,
     })
     this.rentals = new Rentals(this, this.blocks, active, () => this.over, {
       changed: () => this.planSignal.notify(),
@@ -145,6 +140,9 @@
     })
   }
 
+  get jobs(): ReadonlyMap<JobId, JobState> {
+    return this.registry.jobs
+  }
   get hiring(): PartView["hiring"] {
     return this.rentals.hiring
   }
@@ -164,7 +162,7 @@
   readonly run: Effect.Effect<void> = Effect.suspend(() =>
     Effect.gen({ self: this }, function* () {
       yield* this.takeOver()
-      yield* Effect.all([this.planLoop(), this.commits.run, this.blocks.run, this.rentals.run], {
+      yield* Effect.all([this.planLoop(), this.registry.run, this.blocks.run, this.rentals.run], {
         concurrency: "unbounded",
         discard: true,
       })
@@ -192,12 +190,7 @@
       if (this.over) return
       const now = this.ctx.time.moment()
       for (const entry of book.all()) this.machineChanged(entry.id, entry)
-      for (const entry of mirror.under("s/job/")) this.jobChanged(entry.path, entry)
-      const jobOf = (id: JobId) => this.jobs.get(id) ?? null
-      for (const { path, v, stamp } of entries) {
-        const slot = Number(path.slice(path.lastIndexOf("/") + 1))
-        this.commits.ledger.restore(slot, stamp, v as SlotRecord, jobOf, now)
-      }
+      this.registry.restore(entries)
       for (const job of this.jobs.values()) {
         for (const placement of [...job.placements.values()]) {
           const session = this.machines.get(placement.machine)
@@ -207,10 +200,10 @@
           else session.hold(placement)
           if (job.withdrawn) job.stop(placement, { why: "withdrawn", leewayS: 0, since: now })
         }
-        this.commits.settle(job)
+        this.registry.settle(job)
       }
       this.deaf = [
-        mirror.listen("s/job/", (path, entry) => this.jobChanged(path, entry)),
+        this.ctx.jobBook.listen((id, job) => this.registry.jobChanged(id, job)),
         book.listen((id, entry) => this.machineChanged(id, entry)),
       ]
       this.ready = true
@@ -225,29 +218,6 @@
     })
   }
 
-  private jobChanged(path: string, entry: Entry | null): void {
-    const id = path.slice("s/job/".length) as JobId
-    const known = this.jobs.get(id)
-    if (entry === null) {
-      // Only its owner ends a job: a deletion that we didn't hear the answer of.
-      if (known !== undefined) this.forgetJob(known)
-      return
-    }
-    const record = entry.v as JobRecord
-    if (partOf(id, record.request.due_s != null, this.ctx.nodes) !== this.part) return
-    if (known === undefined) {
-      const job = new JobState(id, record, entry.stamp)
-      this.jobs.set(id, job)
-      this.arrived(record.request)
-      // During a take-over its placements aren't read yet: a cancelled job would seem to have none.
-      if (this.ready && job.ended) this.commits.settle(job)
-      this.planSignal.notify()
-      return
-    }
-    if (entry.stamp > known.stamp) known.stamp = entry.stamp
-    if (record.withdrawn === true && !known.withdrawn) this.withdraw(known)
-  }
-
   private arrived(request: JobRequest): void {
     const within = startTargets(this, request.lane, request.expected_s)[0] ?? null
     let soonestBoot = Number.POSITIVE_INFINITY
@@ -266,27 +236,6 @@
     }
   }
 
-  private withdraw(job: JobState): void {
-    job.withdrawn = true
-    const since = this.ctx.time.moment()
-    for (const placement of [...job.placements.values()]) {
-      if (!placement.durable && !this.commits.isInFlight(placement)) this.unplace(placement)
-      else {
-        job.stop(placement, { why: "withdrawn", leewayS: 0, since })
-        this.tell(placement.machine)
-      }
-    }
-    this.commits.settle(job)
-    this.planSignal.notify()
-  }
-
-  private unplace(placement: Placement): void {
-    this.machines.get(placement.machine)?.release(placement)
-    placement.job.clear(placement)
-    this.commits.settle(placement.job)
-    this.planSignal.notify()
-  }
-
   private machineChanged(id: MachineId, entry: MachineEntry | null): void {
     const session = this.machines.get(id)
     if (entry === null || entry.part !== this.part) {
@@ -372,7 +321,7 @@
       this.afterBody(session)
       return NOT_OURS
     }
-    const orders = session.orders(now, (task) => this.finishIsDurable(task))
+    const orders = session.orders(now, (task) => this.registry.finishIsDurable(task))
     session.answering(orders, now)
     this.toTell.delete(session)
     this.afterBody(session)
@@ -409,24 +358,19 @@
         if (decoded.success.host !== session.id) return
         const outcomes = session.observe(decoded.success, "direct", time.moment())
         if (outcomes !== null) this.apply(session, outcomes)
-        else if (session.reborn(decoded.success, since, time.moment()))
+        else if (session.restarted(decoded.success, since, time.moment()))
           this.ctx.log.info("worker began anew", { machine: session.id, tenure: decoded.success.tenure })
         this.afterBody(session)
       }).pipe(Effect.ensuring(Effect.sync(() => this.inspecting.delete(session.id)))),
     )
   }
 
-  private finishIsDurable(task: TaskId): boolean {
-    const { job, index } = splitTaskId(task)
-    return this.jobs.get(job)?.finishIsDurable(index) ?? true
-  }
-
   private afterBody(session: WorkerSession): void {
-    if (session.needsFence() && !this.blocks.isEditing(session.id)) {
-      if (session.deafSince !== null)
+    if (session.needsHigherToken() && !this.blocks.isEditing(session.id)) {
+      if (session.receivesNothingSince !== null)
         this.ctx.log.info("machine has to show that it hears", { machine: session.id })
       this.blocks.edit(session.id, { kind: "fence" }, (done) => {
-        if (done) session.fenced()
+        if (done) session.tokenRaised()
       })
     }
     if (session.warningUntil !== null) this.planSignal.notify()
@@ -470,7 +414,7 @@
           cause: outcome.cause,
         })
       }
-      this.commits.settle(job)
+      this.registry.settle(job)
     }
     if (roomChanged) this.roomChanged()
   }
@@ -506,7 +450,7 @@
       const now = this.ctx.time.moment()
       const { address, tenure, token } = session
       if (session.ordersInFlight || address === null || tenure === null || !this.active) return Effect.void
-      const orders = session.orders(now, (task) => this.finishIsDurable(task))
+      const orders = session.orders(now, (task) => this.registry.finishIsDurable(task))
       if (!orders.some((o) => o.verb !== "forget")) return Effect.void
       session.sending(orders, now)
       const body: OrdersRequest = { baton: token, tenure, orders }
@@ -536,19 +480,8 @@
     this.pushOrders()
   }
 
-  private ended(jobs: ReadonlyArray<JobState>, stamp: Stamp): void {
-    this.ctx.ended(jobs)
-    for (const job of jobs) {
-      this.ctx.membership.mirror.bury(keys.job(job.id), stamp)
-      this.forgetJob(job)
-    }
-  }
-  private forgetJob(job: JobState): void {
-    if (!this.jobs.delete(job.id)) return
-    job.over = true
-    for (const placement of job.placements.values()) this.machines.get(placement.machine)?.release(placement)
+  private releaseHolder(job: JobState): void {
     for (const tenancy of this.tenancies.values()) if (tenancy.holder === job.id) tenancy.holder = null
-    this.planSignal.notify()
   }
 
   // --- planning -------------------------------------------------------------
@@ -608,14 +541,14 @@
   private planOnce(look: boolean): void {
     const now = this.ctx.time.moment()
     const used = teamUse(this)
-    const { needs, quotas } = this.ctx.wants(this.part)
+    const { needs, quotas, claims } = this.ctx.wants(this.part)
     const unused = unusedCores(this, used)
     this.adjustShares(used, quotas, unused)
     const teams = new Map<TeamName, TeamRoom>()
     const limits = new Map<TeamName, TeamRoom>()
     for (const team of this.ctx.platform.facts.teams) {
       const u = used.get(team.name) ?? NOTHING
-      const { cpus, gpus } = this.shares.beyond(team, { cpus: u.cores, gpus: u.accelerators })
+      const { cpus, gpus } = this.shares.beyond(team, { cpus: u.cores, gpus: u.accelerators }, claims)
       limits.set(team.name, { cores: cpus, accelerators: gpus })
     }
     for (const [team, u] of used) {
@@ -626,7 +559,10 @@
     const share = this.shareOfFleet()
     const reserve = this.reserve()
     let machines = machineViews(this, now, reserve, false)
-    const lent = lend(machines, jobs, needs, share, this.given(now), reserve)
+    // Work that its team's limit holds back is no reason to keep a machine from others.
+    const room = new LimitRoom(limits)
+    const startable = jobs.filter((job) => room.tasksLeft(job) > 0)
+    const lent = lend(machines, startable, needs, share, this.given(now), reserve)
     if (lent.length > 0) {
       for (const { machine, to } of lent) {
         const session = this.machines.get(machine)
@@ -634,6 +570,7 @@
       }
       machines = machineViews(this, now, reserve, false)
     }
+    machines = this.draining.apply(machines, needs, this.unusedCores, this.hasMostMachines())
     const decided = plan({
       jobs,
       machines,
@@ -651,20 +588,16 @@
     this.carryOut(decided, now)
     this.workWaits = decided.unplaced.length > 0
     this.idle = decided.idle
+    this.unusedCores = decided.unusedCores
     if (decided.steadyWanted) {
       this.steadyWantedAt = now
       for (const tenancy of this.tenancies.values()) tenancy.closing = false
     }
     if (look) this.makeRoom(decided, needs, share, now)
     this.ctx.publish(this.part, {
-      needs: decided.unplaced.slice(0, NEEDS_TOLD).map(({ job, tasks, pressing }) => ({
-        part: this.part,
-        shape: shapeOf(job.request),
-        rank: job.rank,
-        tasks,
-        pressing: job.withinGuarantee ? pressing : 0,
-      })),
+      needs: machineNeeds(this.part, decided.unplaced),
       quotas: quotaNeeds(this, jobs, teams, unused).filter(({ team }) => !this.shares.yields(team)),
+      claims: teamClaims(this, used, decided.claims),
     })
   }
 
@@ -681,6 +614,12 @@
     preempt(this, decided, needs, share, this.given(now), views, now, (machine) => this.tell(machine))
   }
 
+  private hasMostMachines(): boolean {
+    const { book, membership } = this.ctx
+    const ours = this.machines.size
+    return ours > 1 && membership.parts.every((part) => book.size(part) <= ours)
+  }
+
   /** How much of the machines that could be lent to somebody is ours to lend. */
   private shareOfFleet(): number {
     const { book } = this.ctx
@@ -701,7 +640,11 @@
     const { id } = session
     const tenancy = this.tenancies.get(id)
     if (tenancy === undefined || tenancy.moving || tenancy.returning || this.blocks.isEditing(id)) return
-    if (!session.empty((task) => this.finishIsDurable(task)) || session.deafSince !== null) return
+    if (
+      !session.empty((task) => this.registry.finishIsDurable(task)) ||
+      session.receivesNothingSince !== null
+    )
+      return
     if (this.ctx.membership.owner(to) === null) return
     tenancy.moving = true
     tenancy.holder = null
@@ -730,37 +673,9 @@
     quotas: ReadonlyArray<QuotaNeed>,
     unused: number,
   ): void {
-    const changes = this.shares.adjust((team) => {
-      const u = used.get(team) ?? NOTHING
-      let cpus = u.cores
-      let gpus = u.accelerators
-      let left = unused
-      let rank = -1
-      let since = Number.POSITIVE_INFINITY
-      let smallest: JobRequest | null = null
-      for (const job of this.jobs.values()) {
-        if (job.request.owner !== team || job.withdrawn || job.queued === 0) continue
-        // Beyond what machines have room for, a share would only lie idle, and be asked back.
-        const tasks = Math.min(job.queued, slotsInCores(job.request, left))
-        left -= tasks * job.request.cores
-        cpus += tasks * job.request.cores
-        gpus += tasks * job.request.accelerators
-        if (smallest === null || job.request.cores < smallest.cores) smallest = job.request
-        const of = urgencyRank[job.request.urgency]
-        if (of > rank) since = job.submitted
-        else if (of === rank) since = Math.min(since, job.submitted)
-        rank = Math.max(rank, of)
-      }
-      const own: QuotaNeed = { part: this.part, team, rank, since }
-      const asking = quotas.filter((q) => q.team === team)
-      const first = asking.some((q) => goesFirst(q, own))
-      return {
-        used: { cpus: u.cores, gpus: u.accelerators },
-        wanted: { cpus, gpus },
-        smallestTask: smallest === null ? null : { cpus: smallest.cores, gpus: smallest.accelerators },
-        asked: asking.length === 0 ? "no" : first ? "first" : "after",
-      }
-    })
+    const changes = this.shares.adjust((team) =>
+      shareNeed(this, team, used.get(team) ?? NOTHING, quotas, unused),
+    )
     for (const change of changes) this.ctx.fork(change)
   }
 
@@ -789,7 +704,7 @@
       }
       job.place(placement)
       session.hold(placement)
-      this.commits.place(placement)
+      this.registry.place(placement)
       this.shares.started(job.request.owner)
     }
     for (const [machine, holder] of decided.holders) {
@@ -814,7 +729,6 @@
     }
     let queued = 0
     for (const job of this.jobs.values()) queued += job.withdrawn ? 0 : job.queued
-    const { ledger } = this.commits
     this.ctx.log.debug("part status", {
       part: this.part,
       jobs: this.jobs.size,
@@ -822,7 +736,7 @@
       ...states,
       free,
       cores,
-      slots: ledger.size,
+      slots: this.registry.slots,
     })
   }
 
--- /dev/null
+++ b/packages/controller/src/machine-needs.ts
@@ -0,0 +1,62 @@
+/** What a part asks of the others: machines for queued tasks that its own have no room for. */
+import {
+  isStarved,
+  type JobView,
+  type Need,
+  STARVED_RANK,
+  shapeOf,
+  tasksToBegin,
+  type Unplaced,
+} from "@sorreltally/planner"
+import type { PartName } from "@sorreltally/wire"
+
+/** The most urgent needs are told, and the kinds of machine that most jobs that waited too long wait for. */
+const NEEDS_TOLD = 4
+const STARVED_TOLD = 2
+
+export const machineNeeds = (part: PartName, unplaced: ReadonlyArray<Unplaced>): ReadonlyArray<Need> => [
+  ...starvedNeeds(part, unplaced),
+  ...unplaced
+    .filter(({ tasks }) => tasks > 0)
+    .slice(0, NEEDS_TOLD)
+    .map(
+      ({ job, tasks, pressing }): Need => ({
+        part,
+        shape: shapeOf(job.request),
+        rank: job.rank,
+        tasks,
+        pressing: job.withinGuarantee ? Math.min(pressing, tasks) : 0,
+      }),
+    ),
+]
+
+/**
+ * Guards against jobs that never begin because other parts have all machines
+ * and more urgent work, or as urgent: for some of their tasks machines are lent
+ * before any other work. Jobs that fit the same machines ask together.
+ */
+const starvedNeeds = (part: PartName, unplaced: ReadonlyArray<Unplaced>): ReadonlyArray<Need> => {
+  const byKind = new Map<string, { readonly first: JobView; tasks: number }>()
+  for (const { job, tasks } of unplaced) {
+    if (tasks === 0 || !isStarved(job)) continue
+    const kind = machinesOf(job)
+    const alike = byKind.get(kind) ?? { first: job, tasks: 0 }
+    alike.tasks += Math.min(tasks, tasksToBegin(job))
+    byKind.set(kind, alike)
+  }
+  return [...byKind.values()]
+    .sort((a, b) => b.tasks - a.tasks)
+    .slice(0, STARVED_TOLD)
+    .map(({ first, tasks }) => ({
+      part,
+      shape: shapeOf(first.request),
+      rank: STARVED_RANK,
+      tasks,
+      pressing: 0,
+    }))
+}
+
+const machinesOf = ({ request }: JobView): string => {
+  const { cores, accelerators, mem_gb, builds, site, loaners } = request
+  return JSON.stringify([cores, accelerators, mem_gb, builds ?? null, site ?? null, loaners])
+}
--- a/packages/jobs/src/job.ts
+++ b/packages/jobs/src/job.ts
@@ -61,6 +61,8 @@
   constructor(
     readonly id: JobId,
     record: JobRecord,
+    /** The page of the job table that holds its record, and that page's last change. */
+    readonly page: string,
     public stamp: Stamp,
   ) {
     this.request = record.request
@@ -78,6 +80,10 @@
   get queued(): number {
     return this.pieces - this.finishedCount - this.placements.size
   }
+  /** No task of it ever began. */
+  get unbegun(): boolean {
+    return this.placements.size === 0 && this.finishedCount === 0
+  }
   get complete(): boolean {
     return this.finishedCount === this.pieces
   }
--- a/packages/planner/src/plan.ts
+++ b/packages/planner/src/plan.ts
@@ -20,6 +20,7 @@
   zoneAllowance,
 } from "./model.ts"
 import { inTiers } from "./order.ts"
+import { isOverdue, tasksToBegin } from "./overdue.ts"
 
 /** Seconds of fetching that other work rather takes than room beside the reserve's images. */
 const RESERVED_S = 4
@@ -33,14 +34,6 @@
 /** A kind that costs at most this much more is asked as well, rather than waiting for the cheapest one's answer. */
 const ABOUT_AS_CHEAP = 1.1
 
-/**
- * Order by rank, due time and size would let what is low, late or large wait
- * for ever: of a job of which nothing has begun for this long, so many tasks
- * go before all others.
- */
-const WAITED_LONG_S = 90
-const TO_BEGIN = 0.05
-
 interface Slot {
   readonly machine: MachineView
   readonly reserved: boolean
@@ -101,7 +94,7 @@
     queued.set(job.id, left - placed)
     running.set(job.id, (running.get(job.id) ?? 0) + placed)
   }
-  for (const job of jobs) if (waitsTooLong(job)) place(job, Math.ceil(job.queued * TO_BEGIN))
+  for (const job of jobs) if (isOverdue(job)) place(job, tasksToBegin(job))
   for (const tier of tiers) {
     for (const run of runsOf(tier, canWait)) {
       if (run.length > 1) for (const job of run) place(job, job.queued, true)
@@ -111,7 +104,6 @@
 
   const rentable = new LimitRoom(snapshot.limits)
   const borrowable = new LimitRoom(snapshot.limits)
-  const startableNow = new LimitRoom(snapshot.teams)
   for (const job of jobs) {
     const placed = job.queued - (queued.get(job.id) ?? 0)
     rentable.take(job, placed)
@@ -136,12 +128,13 @@
     const room = rentable.tasksLeft(job)
     const allowedTasks = Math.min(pending, room)
     if (allowedTasks < pending) limited.push(job)
-    const borrowed = Math.min(pending, borrowable.tasksLeft(job))
-    if (job.mayStart && borrowed > 0) {
-      const startable = Math.min(pending, startableNow.tasksLeft(job))
-      unplaced.push({ job, tasks: borrowed, startable, pressing: Math.min(late, borrowed) })
-      borrowable.take(job, borrowed)
-      startableNow.take(job, startable)
+    // What is stopped for urgent work frees quota as well: here each job counts on its team's room for itself.
+    const alone = roomOf(job, snapshot.limits)
+    if (job.mayStart && alone > 0) {
+      const tasks = Math.min(pending, borrowable.tasksLeft(job))
+      const startable = Math.min(pending, roomOf(job, snapshot.teams))
+      unplaced.push({ job, tasks, startable, pressing: Math.min(late, alone) })
+      borrowable.take(job, tasks)
     }
     // The limit's room that tasks on machines that are up, or coming, will take is no reason to rent more.
     const onUp = expectOnUp(job, allowedTasks, zones.get(job.id) ?? job.zones, floor, snapshot.reserve)
@@ -149,7 +142,7 @@
       job,
       pending,
       running.get(job.id) ?? 0,
-      allowedTasks - onUp,
+      room - onUp,
       comingKinds,
       snapshot,
     )
@@ -168,10 +161,20 @@
     holders,
     steadyWanted,
     unplaced,
+    claims: rentable.taken(),
+    // Otherwise it is fragments, or waits for a report: no reason to empty a machine.
+    unusedCores: limited.length > 0 ? unusedCores(up) : 0,
     idle: new Set(up.filter(isIdle).map(({ machine }) => machine.id)),
   }
 }
 
+/** Room that is kept in reserve is of use. */
+const unusedCores = (up: ReadonlyArray<Slot>): number => {
+  let cores = 0
+  for (const { free, reserved } of up) if (!reserved) cores += free.cores
+  return cores
+}
+
 /** Nothing runs there, and no queued task is placed or expected there: each of those replaces `free`. */
 const isIdle = ({ machine, free }: Slot): boolean =>
   machine.state === "up" && machine.busyTasks === 0 && free === machine.free
@@ -237,8 +240,6 @@
   return runs
 }
 
-const waitsTooLong = (job: JobView): boolean => job.unbegun && job.queued > 0 && job.ageS > WAITED_LONG_S
-
 /** How many more tasks the job's team may start. */
 const roomOf = (job: JobView, teams: Snapshot["teams"]): number => {
   const room = teams.get(job.request.owner)
--- a/packages/testkit/src/membership-actions.ts
+++ b/packages/testkit/src/membership-actions.ts
@@ -16,7 +16,7 @@
     for (const [i, name] of world.names.entries())
       world.sim.after(i * number(args, 0, 1) * 1000, () => world.crash(name, number(args, 1, 0.3) * 1000))
   },
-  "end-leader": (world, args) => world.crash(world.membershipTroubles.leader(), number(args, 0, 0.3) * 1000),
+  "end-leader": (world, args) => world.membershipTroubles.endLeader(number(args, 0, 0.3) * 1000),
   "state-refuses-leader": (world, args) => {
     const leader = world.membershipTroubles.leader()
     world.state.refuse(leader, true)
@@ -24,5 +24,5 @@
   },
   /** A cancellation at one node; another one is asked when that one can't. */
   "cancel-at": (world, args) =>
-    world.users.cancel(world.users.jobs[number(args, 1, 0)]!, undefined, node(args)),
+    world.users.cancel(world.users.jobs[number(args, 1, 0)]!, undefined, node(world, args)),
 }
--- a/packages/testkit/src/net.ts
+++ b/packages/testkit/src/net.ts
@@ -41,9 +41,13 @@
   private readonly servers = new Map<string, Server>()
   private readonly connectionsEnd = new Set<string>()
   private readonly cuts = new Set<Cut>()
+  /** When the last cut healed. */
+  lastHealedAt = Number.NEGATIVE_INFINITY
   private readonly interceptors = new Set<Interceptor>()
   loss = 0
   repeat = 0
+  /** Every message takes up to this much longer. */
+  slowMs = 0
   /** Copies come at most this much later. */
   repeatWithinMs = 20_000
 
@@ -61,6 +65,13 @@
     this.servers.delete(host)
   }
 
+  isCut(): boolean {
+    return this.cuts.size > 0
+  }
+  isUnreliable(): boolean {
+    return this.loss > 0 || this.repeat > 0 || this.slowMs > 0 || this.interceptors.size > 0
+  }
+
   /** Returns how to heal it. */
   cut(apart: Cut["apart"], mode: CutMode): () => void {
     return this.open({ apart, mode, oneWay: false, held: [] })
@@ -72,6 +83,7 @@
     this.cuts.add(cut)
     return () => {
       this.cuts.delete(cut)
+      this.lastHealedAt = this.sim.now
       for (const deliver of cut.held) this.sim.after(this.sim.luck.between(0, 50), deliver)
     }
   }
@@ -79,7 +91,10 @@
   /** Looks at every request before it sets out; returns how to end this. */
   intercept(interceptor: Interceptor): () => void {
     this.interceptors.add(interceptor)
-    return () => this.interceptors.delete(interceptor)
+    return () => {
+      this.interceptors.delete(interceptor)
+      this.lastHealedAt = this.sim.now
+    }
   }
   private verdict(from: string, to: string, request: Request, text: string): Verdict {
     const deliverCopy: Departure["deliverCopy"] = (host, afterMs, answered = () => {}) => {
@@ -102,6 +117,12 @@
     return this.connectionsEnd.has(host) && sentTo !== undefined && sentTo !== this.servers.get(host)
   }
 
+  /** Does a cut keep messages between the two from arriving? */
+  isApart(a: string, b: string): boolean {
+    for (const cut of this.cuts) if (cut.apart(a, b) || cut.apart(b, a)) return true
+    return false
+  }
+
   /** One message one way; `lost` is called when its sender can tell. */
   carry(from: string, to: string, deliver: () => void, lost: () => void = () => {}): void {
     for (const cut of this.cuts) {
@@ -111,7 +132,8 @@
       return
     }
     if (this.sim.luck.chance(this.loss)) return
-    this.sim.after(this.sim.luck.between(0.3, 3), deliver)
+    const slow = this.slowMs === 0 ? 0 : this.sim.luck.between(0, this.slowMs)
+    this.sim.after(slow + this.sim.luck.between(0.3, 3), deliver)
     if (this.sim.luck.chance(this.repeat))
       this.sim.after(this.sim.luck.between(5, this.repeatWithinMs), deliver)
   }
--- a/packages/testkit/src/scenario.ts
+++ b/packages/testkit/src/scenario.ts
@@ -1,9 +1,12 @@
 import type { JobId, JobRequest } from "@sorreltally/wire"
 import { type Form, parse } from "sexpr-plus"
 import { type Action, type Args, node, number } from "./actions.ts"
+import { type TroubleEffect, troubleEffects } from "./effects.ts"
+import { epochsOwnedTwice } from "./epoch-rule.ts"
+import { limitActions } from "./limit-actions.ts"
 import { membershipActions } from "./membership-actions.ts"
 import { troubleActions } from "./trouble-actions.ts"
-import { HARMLESS, userActions, userExpectations } from "./user-actions.ts"
+import { HARMLESS, happened, userActions, userExpectations } from "./user-actions.ts"
 import { type Sending, type Setup, usualSetup, World } from "./world.ts"
 
 /** A piece of source without which the scenario must fail. */
@@ -58,6 +61,7 @@
 /** Everything a scenario can make happen. Times are in seconds. */
 const actions: Record<string, Action> = {
   ...troubleActions,
+  ...limitActions,
   ...userActions,
   ...membershipActions,
   submit: (world, args) =>
@@ -71,7 +75,7 @@
   resubmit: (world, args) => world.users.resubmit(job(world, args)),
   cancel: (world, args) => world.users.cancel(job(world, args)),
   "ask-about-nobody": (world) => world.users.askAboutNobody(),
-  crash: (world, args) => world.crash(node(args), number(args, 1, 4) * 1000),
+  crash: (world, args) => world.crash(node(world, args), number(args, 1, 4) * 1000),
   "crash-all": (world, args) => {
     for (const name of world.names) world.crash(name, number(args, 0, 4) * 1000)
   },
@@ -79,11 +83,17 @@
     world.cloud.outage(true)
     world.sim.after(number(args, 0, 10) * 1000, () => world.cloud.outage(false))
   },
+  /** Says which pair of troubles comes next, and notes whether the first one's effect is there. */
+  pair: (world, [first, effect, second]) => {
+    if (!troubleEffects.includes(effect as TroubleEffect)) throw new Error(`unknown effect ${effect}`)
+    const met = world.effects.has(effect as TroubleEffect)
+    world.pairs.push({ first: first!, effect: effect as TroubleEffect, second: second!, met })
+  },
   capacity: (world, args) => {
     world.cloud.settings.capacity = number(args, 0, 0)
   },
   freeze: (world, args) =>
-    world.freeze(node(args), number(args, 1, 30) * 1000, (args[2] ?? null) as Sending | null),
+    world.freeze(node(world, args), number(args, 1, 30) * 1000, (args[2] ?? null) as Sending | null),
 }
 
 const atMost = (what: string, count: number, args: Args): string | null =>
@@ -124,6 +134,11 @@
       : `${world.count.workersAtOne} workers at one node, not ${args[0]}`,
   "rented-at-least": (world, args) =>
     world.cloud.rented >= number(args, 0, 0) ? null : `${world.cloud.rented} machines rented, not ${args[0]}`,
+  /** So many of the pairs that the scenario names really met. */
+  "pairs-met-at-least": (world, args) => {
+    const met = world.pairs.filter((pair) => pair.met).length
+    return met >= number(args, 0, 1) ? null : `${met} of ${world.pairs.length} pairs met, expected ${args[0]}`
+  },
   "no-machine": (world) => expectations["machines-at-most"]!(world, ["0"]),
   "log-has": (world, args) =>
     world.logged.some((l) => l.includes(args[0]!)) ? null : `never logged: ${args[0]}`,
@@ -141,7 +156,28 @@
   })
 }
 
-/** One scenario a file: `(scenario "name" (seed 1) (until 90) (at 3 (crash host-0)) (expect (done 1)))`. */
+/** Troubles that a scenario has to bring together, by the name under which that is counted. */
+interface Meeting {
+  readonly what: string
+  readonly least: number
+}
+
+/** Counted over all seeds of a scenario: whether rare troubles meet on one seed changes with every random draw. */
+const neverMet = ({ what, least }: Meeting, worlds: ReadonlyArray<World>): string | null => {
+  let total = 0
+  for (const world of worlds) {
+    const count = happened(world)[what]
+    if (count === undefined) return `nothing is counted as ${what}`
+    total += count
+  }
+  return total >= least ? null : `${what}: ${total} times, expected ${least}`
+}
+
+/**
+ * One scenario a file: `(scenario "name" (seed 1) (until 90) (at 3 (crash host-0)) (expect (done 1)))`.
+ * With `(seeds 1 2 3)` it is run on each of them: its rules and expectations have to hold on
+ * every seed, and what `happened` asks for has to have come about on all of them together.
+ */
 export const readScenario = (text: string, seedShift = 0): Scenario => {
   const top = parse(text)[0]
   if (top?.type !== "list") throw new Error("expected (scenario …)")
@@ -155,6 +191,8 @@
     readonly lastsS: number
   }> = []
   const wishes: Array<(world: World) => string | null> = []
+  const meetings: Array<Meeting> = []
+  let seeds: ReadonlyArray<number> = []
   const guards: Array<Guard> = []
   for (const entry of entries) {
     if (entry.type !== "list") throw new Error(`line ${entry.location.start.line}: a list was expected`)
@@ -172,12 +210,19 @@
           atS: Number(words(at!)[0]),
           action,
           args,
-          lastsS: name === "submit" || name === "stream" || HARMLESS.has(name ?? "") ? 0 : lastsS,
+          lastsS:
+            name === "submit" || name === "stream" || name === "pair" || HARMLESS.has(name ?? "")
+              ? 0
+              : lastsS,
         })
       }
     } else if (what === "expect") {
       for (const form of entry.content.slice(1)) {
         const [name, ...args] = words(form)
+        if (name === "happened") {
+          meetings.push({ what: args[0] ?? "", least: number(args, 1, 1) })
+          continue
+        }
         const wish = expectations[name ?? ""]
         if (wish === undefined)
           throw new Error(`line ${form.location.start.line}: unknown expectation ${name}`)
@@ -189,6 +234,7 @@
     } else {
       const [, ...args] = words(entry)
       if (what === "until") untilS = Number(args[0])
+      else if (what === "seeds") seeds = args.map(Number)
       else if (what === "zones") setup = { ...setup, zones: args }
       else if (["seed", "nodes", "capacity", "sockets"].includes(what))
         setup = { ...setup, [what]: Number(args[0]) }
@@ -208,22 +254,35 @@
     name: title?.type === "string" ? title.content : "unnamed",
     guards,
     run: () => {
-      jobCount = 0
-      const world = new World({ ...setup, seed: setup.seed + seedShift })
-      for (const { atS, action, args, lastsS } of events)
-        world.sim.after(atS * 1000, () => {
-          world.rules.trouble(lastsS * 1000)
-          action(world, args)
-        })
-      world.sim.runUntil(untilS * 1000)
-      const failures = [...world.rules.broken.slice(0, 5)]
-      if (world.rules.broken.length > 5) failures.push(`… and ${world.rules.broken.length - 5} more`)
-      for (const line of world.logged) if (line.includes(" error ")) failures.push(line)
-      for (const wish of wishes) {
-        const complaint = wish(world)
+      const runs = (seeds.length === 0 ? [setup.seed] : seeds).map((seed) => runOnce(seed + seedShift))
+      const failures = runs.flatMap((run) => run.failures)
+      const worlds = runs.map(({ world }) => world)
+      for (const meeting of meetings) {
+        const complaint = neverMet(meeting, worlds)
         if (complaint !== null) failures.push(complaint)
       }
-      return { failures, world }
+      return { failures, world: (runs.find((run) => run.failures.length > 0) ?? runs[0])!.world }
     },
   }
+
+  /** Everything but the meetings has to hold on each seed. */
+  function runOnce(seed: number): Result {
+    jobCount = 0
+    const world = new World({ ...setup, seed })
+    for (const { atS, action, args, lastsS } of events)
+      world.sim.after(atS * 1000, () => {
+        world.rules.trouble(lastsS * 1000)
+        action(world, args)
+      })
+    world.sim.runUntil(untilS * 1000)
+    const failures = [...world.rules.broken.slice(0, 5)]
+    if (world.rules.broken.length > 5) failures.push(`… and ${world.rules.broken.length - 5} more`)
+    for (const line of world.logged) if (line.includes(" error ")) failures.push(line)
+    failures.push(...epochsOwnedTwice(world.logged))
+    for (const wish of wishes) {
+      const complaint = wish(world)
+      if (complaint !== null) failures.push(complaint)
+    }
+    return { failures, world }
+  }
 }
--- a/packages/testkit/src/state.ts
+++ b/packages/testkit/src/state.ts
@@ -1,4 +1,5 @@
 import type { Net, Request } from "./net.ts"
+import { Operations } from "./operations.ts"
 import type { Sim } from "./sim.ts"
 import { StateFaults } from "./state-faults.ts"
 
@@ -34,8 +35,12 @@
   private readonly news: Array<News> = []
   private waiting: Array<() => void> = []
   private down = false
+  /** When it last came back for everybody or for one node. */
+  lastBackAt = Number.NEGATIVE_INFINITY
+  private readonly changedAt = new Map<string, number>()
   private readonly refused = new Set<string>()
   readonly faults: StateFaults
+  readonly operations = new Operations()
   /** Requests and changes asked for, and those turned away for being too many. */
   readonly count = { requests: 0, changes: 0, refused: 0 }
   /** Called at every change, with the key's new value or null. */
@@ -72,12 +77,28 @@
 
   outage(on: boolean): void {
     this.down = on
-    if (!on) this.renewAll()
+    if (on) return
+    this.lastBackAt = this.sim.now
+    this.renewAll()
   }
   /** One node alone gets 503, and its leases run out. */
   refuse(node: string, on: boolean): void {
     if (on) this.refused.add(node)
     else this.refused.delete(node)
+    if (!on) this.lastBackAt = this.sim.now
+  }
+  isDown(): boolean {
+    return this.down
+  }
+  /** How much of a grant's time is over since it was made or touched; 0 if there is no such grant. */
+  grantShareOver(permit: number | null): number {
+    const grant = this.grants.get(permit ?? -1)
+    return grant === undefined ? 0 : 1 - (grant.until - this.sim.now) / grant.ttl
+  }
+  /** When a key with the prefix was last written or deleted. */
+  lastChangeAt(prefix: string): number {
+    const times = [...this.changedAt].filter(([path]) => path.startsWith(prefix)).map(([, at]) => at)
+    return Math.max(Number.NEGATIVE_INFINITY, ...times)
   }
   refuses(node: string): boolean {
     return this.refused.has(node)
@@ -192,8 +213,10 @@
   }
 
   private change(path: string, entry: Held | null): void {
+    this.operations.note(path, this.keys.get(path)?.v, entry?.v)
     if (entry === null) this.keys.delete(path)
     else this.keys.set(path, entry)
+    this.changedAt.set(path, this.sim.now)
     this.news.push({ epoch: this.epoch, path, entry })
     if (this.news.length > KEPT_NEWS) this.news.shift()
     for (const listener of this.listeners) listener(path, entry?.v ?? null)
--- a/packages/testkit/src/user-actions.ts
+++ b/packages/testkit/src/user-actions.ts
@@ -1,4 +1,4 @@
-import { type Action, type Args, number } from "./actions.ts"
+import { type Action, type Args, node, number } from "./actions.ts"
 import { largestOfClasses, notBegunWithin, unserved } from "./service-rules.ts"
 import type { World } from "./world.ts"
 
@@ -11,8 +11,9 @@
     world.sim.after(seconds(args, 0, 10), () => world.state.outage(false))
   },
   "state-refuses": (world, args) => {
-    world.state.refuse(args[0]!, true)
-    world.sim.after(seconds(args, 1, 10), () => world.state.refuse(args[0]!, false))
+    const refused = node(world, args)
+    world.state.refuse(refused, true)
+    world.sim.after(seconds(args, 1, 10), () => world.state.refuse(refused, false))
   },
   /** Every answer of the state service takes up to that many milliseconds longer, for so long. */
   "state-slow": (world, args) => {
@@ -63,11 +64,13 @@
 ])
 
 /** How often something really happened, by its name. */
-const happened = (world: World): Readonly<Record<string, number>> => ({
+export const happened = (world: World): Readonly<Record<string, number>> => ({
   ...world.sim.occurrences.all(),
   ...world.userTroubles.count,
   ...world.state.faults.count,
+  ...world.state.operations.count,
   ...world.membershipTroubles.count,
+  ...world.limitMeetings.count,
   startsAfterCancellation: world.rules.startsAfterCancellation,
 })
 
@@ -90,11 +93,11 @@
     const missing = late.filter((job) => largest.has(job))
     return missing.length === 0 ? null : `nothing began within ${args[0]} s of ${missing.join(", ")}`
   },
-  /** Something happened at least so often: the troubles of a scenario did meet. */
-  happened: (world, args) => {
-    const count = happened(world)[args[0]!]
-    if (count === undefined) return `nothing is counted as ${args[0]}`
-    return count >= number(args, 1, 1) ? null : `${args[0]}: ${count} times, expected ${args[1] ?? 1}`
+  /** Puts and deletes from submission to end, over all jobs. */
+  "operations-a-job-at-most": (world, args) => {
+    const { ofJobs, count } = world.state.operations
+    const each = ofJobs / world.users.jobs.length
+    return each <= number(args, 0, 2) ? null : `${each.toFixed(2)} changes a job: ${JSON.stringify(count)}`
   },
   "happened-at-most": (world, args) => {
     const count = happened(world)[args[0]!]
--- a/packages/testkit/src/user-troubles.ts
+++ b/packages/testkit/src/user-troubles.ts
@@ -24,6 +24,7 @@
   private cancelledAtOnce = 0
   private cancelSoon = { share: 0, until: 0 }
   private cancelAtEnd = { share: 0, until: 0 }
+  private oddUntil = 0
   private oddJobs = 0
   readonly count = {
     /** Answers within a moment of an acceptance, a confirmed cancellation, and the end of a job's last task. */
@@ -50,6 +51,9 @@
     rules.onComplete.push((job) => this.completed(job as JobId))
   }
 
+  areOn(): boolean {
+    return this.sim.now < Math.max(this.closePollsUntil, this.cancelAtEnd.until, this.oddUntil)
+  }
   /** All nodes are polled within milliseconds of each event, and submissions repeated. */
   closePolls(forMs: number, cancelledAtOnce: number): void {
     this.cancelledAtOnce = cancelledAtOnce
@@ -116,6 +120,7 @@
   /** Repeated submissions of unfinished jobs, cancels of done ones, jobs that no node may accept. */
   oddRequests(forMs: number): void {
     const until = this.sim.now + forMs
+    this.oddUntil = Math.max(this.oddUntil, until)
     const next = () => {
       if (this.sim.now >= until) return
       this.oddRequest()
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -13,6 +13,8 @@
 } from "@sorreltally/wire"
 import { Effect, Exit, Random } from "effect"
 import { Cloud } from "./cloud.ts"
+import { type DrawnPair, EffectObserver } from "./effects.ts"
+import { LimitMeetings } from "./limit-meetings.ts"
 import { MembershipTroubles } from "./membership-troubles.ts"
 import { type Answer, Net, type Request } from "./net.ts"
 import { Rules } from "./rules.ts"
@@ -71,9 +73,15 @@
   readonly users: Users
   readonly userTroubles: UserTroubles
   readonly membershipTroubles: MembershipTroubles
+  readonly limitMeetings: LimitMeetings
   readonly names: ReadonlyArray<NodeName>
   private readonly lives = new Map<NodeName, Life>()
   readonly logged: Array<string> = []
+  /** Pairs of troubles that the scenario names, in order. */
+  readonly pairs: Array<DrawnPair> = []
+  readonly effects = new EffectObserver(this)
+  /** When a controller last started again after it had ended. */
+  lastReturnAt = Number.NEGATIVE_INFINITY
   private births = 0
   /** Bytes between controllers, the most commands under way at one, the most machines that reported to one last. */
   readonly count = { peerBytes: 0, commandsAtOnce: 0, workersAtOne: 0 }
@@ -103,6 +111,7 @@
     this.userTroubles = new UserTroubles(this.sim, this.users, this.rules)
     this.troubles = new Troubles(this)
     this.membershipTroubles = new MembershipTroubles(this)
+    this.limitMeetings = new LimitMeetings(this)
     for (let i = 0; i < setup.nodes; i++) this.sim.after(i * 150, () => this.start(this.names[i]!))
     const waiting = new WaitingRule(this.sim, this.rules, this.cloud)
     const look = () => {
@@ -244,11 +253,16 @@
   }
 
   crash(name: NodeName, backAfterMs: number): void {
+    this.rules.trouble(backAfterMs)
     this.rules.lastCrashAt = this.sim.now
+    this.limitMeetings.crashed(name)
     this.lives.get(name)?.process.kill()
     this.lives.delete(name)
     this.net.close(name)
-    this.sim.after(backAfterMs, () => this.start(name))
+    this.sim.after(backAfterMs, () => {
+      this.lastReturnAt = this.sim.now
+      this.start(name)
+    })
   }
 
   // --- trouble ----------------------------------------------------------------
