--- a/packages/testkit/src/user-actions.ts
+++ b/packages/testkit/src/user-actions.ts
@@ -52,9 +52,6 @@
   "odd-requests": (world, args) => world.userTroubles.oddRequests(seconds(args, 0, 60)),
   "close-polls": (world, args) => world.userTroubles.closePolls(seconds(args, 0, 60), number(args, 1, 0.15)),
 }
-// Its former name.
-userActions["state-mute"] = userActions["lost-answers"]!
-
 /** Verbs of which the service takes no harm: the time until questions have to be answered again doesn't wait for their end. */
 export const HARMLESS: ReadonlySet<string> = new Set([
   "close-polls",
