--- a/packages/controller/src/engine.ts
+++ b/packages/controller/src/engine.ts
@@ -13,18 +13,15 @@
   slotsIn,
   type TeamRoom,
 } from "@sorreltally/planner"
-import { cancellationBudget } from "@sorreltally/settings"
 import { type Entry, keys } from "@sorreltally/state"
 import {
   type Attempt,
-  decodeReport,
   type JobId,
   type JobRequest,
   later,
   type MachineId,
   type Moment,
   NEVER,
-  type OrdersRequest,
   type Outgoing,
   type PartName,
   type Report,
@@ -33,13 +30,12 @@
   taskId,
   urgencyRank,
 } from "@sorreltally/wire"
-import { type Introduction, type MachineEntry, type Outcome, WorkerSession } from "@sorreltally/workers"
+import { type Introduction, type MachineEntry, WorkerSession } from "@sorreltally/workers"
 import { Effect, Result } from "effect"
 import { Arrivals } from "./arrivals.ts"
 import { BlockWriter } from "./blocks.ts"
 import type { EngineContext, PartView, Tenancy } from "./context.ts"
 import { Draining } from "./draining.ts"
-import { HeldReports } from "./held.ts"
 import { JobRegistry } from "./job-registry.ts"
 import { machineNeeds } from "./machine-needs.ts"
 import { preempt } from "./preempt.ts"
@@ -48,6 +44,7 @@
 import { Shares } from "./shares.ts"
 import { Signal } from "./signal.ts"
 import { jobViews, loadOf, machineViews, startTargets, teamUse } from "./views.ts"
+import { WorkerExchange } from "./worker-exchange.ts"
 
 const PLAN_SPACING_MS = 120
 /** After a plan, everything else has the processor for this many times what the plan took. */
@@ -55,8 +52,6 @@
 const TICK_MS = 1_000
 /** Leases, warnings and preemption are looked at this often. */
 const LOOK_MS = 700
-const CALL_TIMEOUT_MS = 3_000
-const ORDERS_BACKOFF_MS = 4_000
 /** How long a lent machine is taken off the borrower's need: until its next word has surely come. */
 const GIVEN_COUNTS_MS = 1_500
 /** While refused kinds of spot are asked again, steady machines stay as they were wanted before. */
@@ -64,7 +59,6 @@
 const STATUS_EVERY_MS = 15_000
 const ATTEMPTS_PER_EPOCH = 2 ** 20
 const NOTHING: TeamRoom = { cores: 0, accelerators: 0 }
-const NOT_OURS: Outgoing = { status: 503, body: {} }
 
 /**
  * Everything one part's owner does: its jobs, its machines, and the loops
@@ -74,16 +68,11 @@
 export class PartEngine implements PartView {
   readonly machines = new Map<MachineId, WorkerSession>()
   readonly tenancies = new Map<MachineId, Tenancy>()
-  private readonly inspecting = new Set<MachineId>()
   private readonly planSignal = new Signal()
   private readonly shares: Shares
   private readonly blocks: BlockWriter
   private readonly registry: JobRegistry
   private readonly rentals: Rentals
-  /** Machines that have something to be told before their next report. */
-  private readonly toTell = new Set<WorkerSession>()
-  /** Some of them wait for others' commands to be answered. */
-  private mustWait = false
   private readonly gifts: Array<{ readonly to: PartName; readonly slots: number; readonly until: Moment }> =
     []
   private readonly draining = new Draining()
@@ -91,8 +80,7 @@
   private reserveRank = Number.NEGATIVE_INFINITY
   private steadyWantedAt: Moment = NEVER
   private attempts = 0
-  private readonly held: HeldReports
-  private roomChanges = 0
+  private readonly workers: WorkerExchange
   private workWaits = false
   /** Empty machines that the last plan found no use for. */
   private idle: ReadonlySet<MachineId> = new Set()
@@ -103,9 +91,7 @@
   private statusAt: Moment = NEVER
   ready = false
   private over = false
-  private deaf: Array<() => void> = []
-  /** After this long from a cancellation, a lease that is renewed may outlast `cancel_s`. */
-  private readonly renewableMs: number
+  private endListening: Array<() => void> = []
 
   constructor(
     readonly part: PartName,
@@ -113,10 +99,7 @@
     readonly ctx: EngineContext,
   ) {
     const { state, membership, book, time, platform } = ctx
-    const budget = cancellationBudget(platform.facts.workers, ctx.operators.membership)
-    this.renewableMs = Math.max(0, budget.cancelMs - budget.worstCaseMs)
     const active = () => this.ready && this.active
-    this.held = new HeldReports(time.moment, (session) => this.answer(session))
     this.shares = new Shares(part, epoch, platform.facts.teams, membership.mirror, state, time.moment, () =>
       this.planSignal.notify(),
     )
@@ -126,13 +109,24 @@
       arrived: (request) => this.arrived(request),
       changed: () => this.planSignal.notify(),
       release: (placement) => this.machines.get(placement.machine)?.release(placement),
-      tell: (machine) => this.tell(machine),
+      tell: (machine) => this.workers.tell(machine),
       forgotten: (job) => this.releaseHolder(job),
       ready: () => this.ready,
     })
+    this.workers = new WorkerExchange({
+      ctx,
+      machines: this.machines,
+      registry: this.registry,
+      blocks: this.blocks,
+      mayAct: active,
+      isEntitled: () => this.active,
+      isOver: () => this.over,
+      workWaits: () => this.workWaits,
+      changed: () => this.planSignal.notify(),
+    })
     this.rentals = new Rentals(this, this.blocks, active, () => this.over, {
       changed: () => this.planSignal.notify(),
-      deleted: (session) => this.apply(session, session.clearAll("machine deleted")),
+      deleted: (session) => this.workers.apply(session, session.clearAll("machine deleted")),
       lend: (session, to, needs) => this.lendMachine(session, to, needs),
       steadyWanted: () => this.ctx.time.moment() < later(this.steadyWantedAt, STEADY_LINGERS_MS),
       reserve: () => this.reserve(),
@@ -149,8 +143,8 @@
   stop(): void {
     this.over = true
     this.ready = false
-    this.held.letAllGo(NOT_OURS)
-    for (const deaf of this.deaf) deaf()
+    this.workers.stop()
+    for (const end of this.endListening) end()
   }
   wake(): void {
     this.planSignal.notify()
@@ -202,7 +196,7 @@
         }
         this.registry.settle(job)
       }
-      this.deaf = [
+      this.endListening = [
         this.ctx.jobBook.listen((id, job) => this.registry.jobChanged(id, job)),
         book.listen((id, entry) => this.machineChanged(id, entry)),
       ]
@@ -266,218 +260,24 @@
   private dropMachine(session: WorkerSession, why: string): void {
     this.machines.delete(session.id)
     this.tenancies.delete(session.id)
-    this.toTell.delete(session)
-    this.apply(session, session.clearAll(why))
+    this.workers.drop(session)
+    this.workers.apply(session, session.clearAll(why))
   }
 
   // --- workers --------------------------------------------------------------
 
-  /** The answer to a report of one of our machines; 503 when we may not act for it. */
   report(body: Report): Outgoing {
-    const session = this.heard(body)
-    return session === null ? NOT_OURS : this.answer(session)
+    return this.workers.report(body)
   }
-  /**
-   * The same, once the next plan has looked at the room that the report tells
-   * of: what then starts goes along, where a command of its own would cost
-   * both ends a request more. A worker says nothing new for half a second
-   * anyway.
-   */
   reportInTime(body: Report): Effect.Effect<Outgoing> {
-    return Effect.suspend(() => {
-      const before = this.roomChanges
-      const session = this.heard(body)
-      if (session === null) return Effect.succeed(NOT_OURS)
-      // Its worker gave that one up.
-      this.held.letGo(session, NOT_OURS)
-      if (this.roomChanges === before || !this.workWaits) return Effect.succeed(this.answer(session))
-      return this.held.hold(session)
-    })
-  }
-
-  /** Takes a report in; null when we may not act for its machine, or it is a late copy. */
-  private heard(body: Report): WorkerSession | null {
-    const session = this.machines.get(body.host)
-    if (!this.ready || !this.active || session === undefined) return null
-    const now = this.ctx.time.moment()
-    const begins = !session.up
-    const outcomes = session.observe(body, "report", now)
-    if (outcomes === null) {
-      // A late copy says nothing, and nobody waits for its answer. Or the
-      // worker began anew: then its reports would be taken for copies for ever.
-      if (session.silentMs(now) > 1_500 * this.ctx.platform.facts.workers.report_s)
-        this.inspect(session, body)
-      return null
-    }
-    this.apply(session, outcomes)
-    if (begins) this.roomChanged()
-    return session
-  }
-  private answer(session: WorkerSession): Outgoing {
-    // While its report was held, the machine may have gone, or our right to speak.
-    if (!this.ready || !this.active || this.machines.get(session.id) !== session) return NOT_OURS
-    const now = this.ctx.time.moment()
-    if (this.leaseMustEnd(session, now)) {
-      this.afterBody(session)
-      return NOT_OURS
-    }
-    const orders = session.orders(now, (task) => this.registry.finishIsDurable(task))
-    session.answering(orders, now)
-    this.toTell.delete(session)
-    this.afterBody(session)
-    return { status: 200, body: { baton: session.token, orders } }
-  }
-
-  /**
-   * A start of a cancelled task that is held up on its way may be carried out
-   * as long as the worker's session and token stand. If the token can't be
-   * raised, the lease must not be renewed beyond what `cancel_s` leaves.
-   */
-  private leaseMustEnd(session: WorkerSession, now: Moment): boolean {
-    const since = session.cancelledStartMayCome()
-    return since !== null && now > later(since, this.renewableMs)
-  }
-
-  /** What `/inspect` answers is no late copy. */
-  private inspect(session: WorkerSession, body: Report): void {
-    if (this.inspecting.has(session.id)) return
-    this.inspecting.add(session.id)
-    const since = session.standing()
-    const { exchange, time, fork } = this.ctx
-    const call = {
-      address: body.address,
-      method: "GET",
-      path: "/inspect",
-      timeoutMs: CALL_TIMEOUT_MS,
-    } as const
-    fork(
-      Effect.gen({ self: this }, function* () {
-        const reply = yield* Effect.result(exchange.call(call))
-        const decoded = Result.isSuccess(reply) ? decodeReport(reply.success.body) : null
-        if (decoded === null || Result.isFailure(decoded) || this.machines.get(session.id) !== session) return
-        if (decoded.success.host !== session.id) return
-        const outcomes = session.observe(decoded.success, "direct", time.moment())
-        if (outcomes !== null) this.apply(session, outcomes)
-        else if (session.restarted(decoded.success, since, time.moment()))
-          this.ctx.log.info("worker began anew", { machine: session.id, tenure: decoded.success.tenure })
-        this.afterBody(session)
-      }).pipe(Effect.ensuring(Effect.sync(() => this.inspecting.delete(session.id)))),
-    )
-  }
-
-  private afterBody(session: WorkerSession): void {
-    if (session.needsHigherToken() && !this.blocks.isEditing(session.id)) {
-      if (session.receivesNothingSince !== null)
-        this.ctx.log.info("machine has to show that it hears", { machine: session.id })
-      this.blocks.edit(session.id, { kind: "fence" }, (done) => {
-        if (done) session.tokenRaised()
-      })
-    }
-    if (session.warningUntil !== null) this.planSignal.notify()
-  }
-
-  private apply(session: WorkerSession, outcomes: ReadonlyArray<Outcome>): void {
-    if (outcomes.length === 0) return
-    const now = this.ctx.time.moment()
-    let roomChanged = false
-    for (const outcome of outcomes) {
-      const { placement } = outcome
-      const { job } = placement
-      if (outcome.kind === "running") {
-        job.began(placement, now)
-        this.ctx.log.debug("task runs", {
-          task: placement.task,
-          lane: job.request.lane,
-          machine: session.id,
-          waitedS: (this.ctx.time.wall() - job.submitted) / 1000,
-          fetchedS: (now - placement.placedAt) / 1000,
-        })
-        continue
-      }
-      roomChanged = true
-      if (outcome.kind === "done") {
-        job.finish(placement.index)
-        job.failures = 0
-        job.notBefore = null
-        if (placement.runningSince !== null && placement.stop === null)
-          this.ctx.estimates.learn(job.request, (now - placement.runningSince) / 1000)
-      } else {
-        job.clear(placement)
-        if (outcome.cause === "error" || outcome.cause === "no_room" || outcome.cause === "unknown") {
-          job.failures++
-          // A job that fails everywhere is tried ever less often.
-          job.notBefore = later(now, Math.min(30_000, 250 * 2 ** Math.min(7, job.failures)))
-        }
-        this.ctx.log.debug("task cleared", {
-          task: placement.task,
-          machine: session.id,
-          cause: outcome.cause,
-        })
-      }
-      this.registry.settle(job)
-    }
-    if (roomChanged) this.roomChanged()
-  }
-  private roomChanged(): void {
-    this.roomChanges++
-    this.planSignal.notify()
-  }
-
-  /** Sends what can't wait for the next report straight to the workers. */
-  private pushOrders(): void {
-    if (!this.active) return
-    const now = this.ctx.time.moment()
-    for (const session of this.toTell) {
-      // Whoever has to wait is told with the next answer, or when a command has been answered.
-      this.mustWait = this.ctx.commands.full
-      if (this.mustWait) return
-      if (this.held.has(session)) {
-        this.held.answerNow(session)
-        continue
-      }
-      if (session.ordersInFlight || session.address === null || session.tenure === null) continue
-      this.toTell.delete(session)
-      if (now >= session.ordersBadUntil) this.ctx.fork(this.sendOrders(session))
-    }
-  }
-  private tell(machine: MachineId): void {
-    const session = this.machines.get(machine)
-    if (session !== undefined) this.toTell.add(session)
-  }
-
-  private sendOrders(session: WorkerSession) {
-    return Effect.suspend(() => {
-      const now = this.ctx.time.moment()
-      const { address, tenure, token } = session
-      if (session.ordersInFlight || address === null || tenure === null || !this.active) return Effect.void
-      const orders = session.orders(now, (task) => this.registry.finishIsDurable(task))
-      if (!orders.some((o) => o.verb !== "forget")) return Effect.void
-      session.sending(orders, now)
-      const body: OrdersRequest = { baton: token, tenure, orders }
-      const call = { address, method: "POST", path: "/orders", body, timeoutMs: CALL_TIMEOUT_MS } as const
-      return Effect.gen({ self: this }, function* () {
-        const reply = yield* Effect.result(this.ctx.commands.within(this.ctx.exchange.call(call)))
-        const status = Result.isSuccess(reply) ? reply.success.status : 0
-        session.sent(orders, token, status === 200 || status === 409)
-        if (this.over || this.machines.get(session.id) !== session) return
-        const decoded = Result.isSuccess(reply) ? decodeReport(reply.success.body) : null
-        if (decoded === null || Result.isFailure(decoded)) {
-          session.ordersBadUntil = later(this.ctx.time.moment(), ORDERS_BACKOFF_MS)
-          return
-        }
-        const outcomes = session.observe(decoded.success, "direct", this.ctx.time.moment())
-        if (outcomes !== null) this.apply(session, outcomes)
-        this.afterBody(session)
-        if (this.mustWait || this.toTell.has(session)) this.pushOrders()
-      })
-    })
+    return this.workers.reportInTime(body)
   }
 
   // --- what became durable ----------------------------------------------------
 
   private placed(placements: ReadonlyArray<Placement>): void {
-    for (const placement of placements) this.tell(placement.machine)
-    this.pushOrders()
+    for (const placement of placements) this.workers.tell(placement.machine)
+    this.workers.pushOrders()
   }
 
   private releaseHolder(job: JobState): void {
@@ -500,10 +300,10 @@
             this.checkWarnings()
           }
           this.planOnce(look)
-          this.pushOrders()
+          this.workers.pushOrders()
           this.logStatus(began)
         }
-        this.held.answerReady()
+        this.workers.answerReady()
         // Reports, grants and health checks must not wait for plans.
         const tookMs = this.ctx.time.moment() - began
         yield* Effect.sleep(Math.max(PLAN_SPACING_MS, PLAN_REST * tookMs))
@@ -516,7 +316,7 @@
     for (const session of this.machines.values()) {
       if ((session.up || session.placements.size > 0) && session.leaseOver(now)) {
         this.ctx.log.info("machine's lease is over", { machine: session.id, tasks: session.placements.size })
-        this.apply(session, session.endTenure())
+        this.workers.apply(session, session.endTenure())
       }
     }
   }
@@ -533,7 +333,7 @@
         // Reports, and the stop itself, need a moment too.
         if (leftS >= flush_s + 3) continue
         placement.job.stop(placement, { why: "drain", leewayS: Math.max(flush_s, leftS), since: now })
-        this.toTell.add(session)
+        this.workers.tell(session.id)
       }
     }
   }
@@ -611,7 +411,7 @@
   private makeRoom(decided: Plan, needs: ReadonlyArray<Need>, share: number, now: Moment): void {
     if (decided.unplaced.length === 0 && !needs.some((n) => n.pressing > 0)) return
     const views: ReadonlyArray<MachineView> = machineViews(this, now, this.reserve(), true)
-    preempt(this, decided, needs, share, this.given(now), views, now, (machine) => this.tell(machine))
+    preempt(this, decided, needs, share, this.given(now), views, now, (machine) => this.workers.tell(machine))
   }
 
   private hasMostMachines(): boolean {
--- /dev/null
+++ b/packages/controller/src/worker-exchange.ts
@@ -0,0 +1,271 @@
+import { cancellationBudget } from "@sorreltally/settings"
+import {
+  decodeReport,
+  later,
+  type MachineId,
+  type Moment,
+  type OrdersRequest,
+  type Outgoing,
+  type Report,
+} from "@sorreltally/wire"
+import type { Outcome, WorkerSession } from "@sorreltally/workers"
+import { Effect, Result } from "effect"
+import type { BlockWriter } from "./blocks.ts"
+import type { EngineContext } from "./context.ts"
+import { HeldReports } from "./held.ts"
+import type { JobRegistry } from "./job-registry.ts"
+
+const CALL_TIMEOUT_MS = 3_000
+const ORDERS_BACKOFF_MS = 4_000
+const NOT_OURS: Outgoing = { status: 503, body: {} }
+
+/** What the exchange with the workers needs of its part. */
+export interface WorkerExchangeHost {
+  readonly ctx: EngineContext
+  readonly machines: ReadonlyMap<MachineId, WorkerSession>
+  readonly registry: JobRegistry
+  readonly blocks: BlockWriter
+  /** The part's state is read, and its owner may act for it. */
+  readonly mayAct: () => boolean
+  readonly isEntitled: () => boolean
+  readonly isOver: () => boolean
+  /** The last plan left work without room. */
+  readonly workWaits: () => boolean
+  readonly changed: () => void
+}
+
+/** One part's talk with its workers: reports and their answers, and commands sent to their own addresses. */
+export class WorkerExchange {
+  private readonly inspecting = new Set<MachineId>()
+  /** Machines that have something to be told before their next report. */
+  private readonly toTell = new Set<WorkerSession>()
+  /** Some of them wait for others' commands to be answered. */
+  private mustWait = false
+  private readonly held: HeldReports
+  private roomChanges = 0
+  /** After this long from a cancellation, a lease that is renewed may outlast `cancel_s`. */
+  private readonly renewableMs: number
+
+  constructor(private readonly of: WorkerExchangeHost) {
+    const { time, platform, operators } = of.ctx
+    const budget = cancellationBudget(platform.facts.workers, operators.membership)
+    this.renewableMs = Math.max(0, budget.cancelMs - budget.worstCaseMs)
+    this.held = new HeldReports(time.moment, (session) => this.answer(session))
+  }
+
+  /** The answer to a report of one of our machines; 503 when we may not act for it. */
+  report(body: Report): Outgoing {
+    const session = this.heard(body)
+    return session === null ? NOT_OURS : this.answer(session)
+  }
+  /**
+   * The same, once the next plan has looked at the room that the report tells
+   * of: what then starts goes along, where a command of its own would cost
+   * both ends a request more. A worker says nothing new for half a second
+   * anyway.
+   */
+  reportInTime(body: Report): Effect.Effect<Outgoing> {
+    return Effect.suspend(() => {
+      const before = this.roomChanges
+      const session = this.heard(body)
+      if (session === null) return Effect.succeed(NOT_OURS)
+      // Its worker gave that one up.
+      this.held.letGo(session, NOT_OURS)
+      if (this.roomChanges === before || !this.of.workWaits()) return Effect.succeed(this.answer(session))
+      return this.held.hold(session)
+    })
+  }
+
+  /** Takes a report in; null when we may not act for its machine, or it is a late copy. */
+  private heard(body: Report): WorkerSession | null {
+    const session = this.of.machines.get(body.host)
+    if (!this.of.mayAct() || session === undefined) return null
+    const now = this.of.ctx.time.moment()
+    const begins = !session.up
+    const outcomes = session.observe(body, "report", now)
+    if (outcomes === null) {
+      // A late copy says nothing, and nobody waits for its answer. Or the
+      // worker began anew: then its reports would be taken for copies for ever.
+      if (session.silentMs(now) > 1_500 * this.of.ctx.platform.facts.workers.report_s)
+        this.inspect(session, body)
+      return null
+    }
+    this.apply(session, outcomes)
+    if (begins) this.roomChanged()
+    return session
+  }
+  private answer(session: WorkerSession): Outgoing {
+    // While its report was held, the machine may have gone, or our right to speak.
+    if (!this.of.mayAct() || this.of.machines.get(session.id) !== session) return NOT_OURS
+    const now = this.of.ctx.time.moment()
+    if (this.leaseMustEnd(session, now)) {
+      this.afterBody(session)
+      return NOT_OURS
+    }
+    const orders = session.orders(now, (task) => this.of.registry.finishIsDurable(task))
+    session.answering(orders, now)
+    this.toTell.delete(session)
+    this.afterBody(session)
+    return { status: 200, body: { baton: session.token, orders } }
+  }
+
+  /**
+   * A start of a cancelled task that is held up on its way may be carried out
+   * as long as the worker's session and token stand. If the token can't be
+   * raised, the lease must not be renewed beyond what `cancel_s` leaves.
+   */
+  private leaseMustEnd(session: WorkerSession, now: Moment): boolean {
+    const since = session.cancelledStartMayCome()
+    return since !== null && now > later(since, this.renewableMs)
+  }
+
+  /** What `/inspect` answers is no late copy. */
+  private inspect(session: WorkerSession, body: Report): void {
+    if (this.inspecting.has(session.id)) return
+    this.inspecting.add(session.id)
+    const since = session.standing()
+    const { exchange, time, fork } = this.of.ctx
+    const call = {
+      address: body.address,
+      method: "GET",
+      path: "/inspect",
+      timeoutMs: CALL_TIMEOUT_MS,
+    } as const
+    fork(
+      Effect.gen({ self: this }, function* () {
+        const reply = yield* Effect.result(exchange.call(call))
+        const decoded = Result.isSuccess(reply) ? decodeReport(reply.success.body) : null
+        if (decoded === null || Result.isFailure(decoded) || this.of.machines.get(session.id) !== session)
+          return
+        if (decoded.success.host !== session.id) return
+        const outcomes = session.observe(decoded.success, "direct", time.moment())
+        if (outcomes !== null) this.apply(session, outcomes)
+        else if (session.restarted(decoded.success, since, time.moment()))
+          this.of.ctx.log.info("worker began anew", { machine: session.id, tenure: decoded.success.tenure })
+        this.afterBody(session)
+      }).pipe(Effect.ensuring(Effect.sync(() => this.inspecting.delete(session.id)))),
+    )
+  }
+
+  private afterBody(session: WorkerSession): void {
+    if (session.needsHigherToken() && !this.of.blocks.isEditing(session.id)) {
+      if (session.receivesNothingSince !== null)
+        this.of.ctx.log.info("machine has to show that it hears", { machine: session.id })
+      this.of.blocks.edit(session.id, { kind: "fence" }, (done) => {
+        if (done) session.tokenRaised()
+      })
+    }
+    if (session.warningUntil !== null) this.of.changed()
+  }
+
+  /** Carries over to the jobs what a body, or the end of a lease, says of their tasks. */
+  apply(session: WorkerSession, outcomes: ReadonlyArray<Outcome>): void {
+    if (outcomes.length === 0) return
+    const now = this.of.ctx.time.moment()
+    let roomChanged = false
+    for (const outcome of outcomes) {
+      const { placement } = outcome
+      const { job } = placement
+      if (outcome.kind === "running") {
+        job.began(placement, now)
+        this.of.ctx.log.debug("task runs", {
+          task: placement.task,
+          lane: job.request.lane,
+          machine: session.id,
+          waitedS: (this.of.ctx.time.wall() - job.submitted) / 1000,
+          fetchedS: (now - placement.placedAt) / 1000,
+        })
+        continue
+      }
+      roomChanged = true
+      if (outcome.kind === "done") {
+        job.finish(placement.index)
+        job.failures = 0
+        job.notBefore = null
+        if (placement.runningSince !== null && placement.stop === null)
+          this.of.ctx.estimates.learn(job.request, (now - placement.runningSince) / 1000)
+      } else {
+        job.clear(placement)
+        if (outcome.cause === "error" || outcome.cause === "no_room" || outcome.cause === "unknown") {
+          job.failures++
+          // A job that fails everywhere is tried ever less often.
+          job.notBefore = later(now, Math.min(30_000, 250 * 2 ** Math.min(7, job.failures)))
+        }
+        this.of.ctx.log.debug("task cleared", {
+          task: placement.task,
+          machine: session.id,
+          cause: outcome.cause,
+        })
+      }
+      this.of.registry.settle(job)
+    }
+    if (roomChanged) this.roomChanged()
+  }
+  private roomChanged(): void {
+    this.roomChanges++
+    this.of.changed()
+  }
+
+  /** Sends what can't wait for the next report straight to the workers. */
+  pushOrders(): void {
+    if (!this.of.isEntitled()) return
+    const now = this.of.ctx.time.moment()
+    for (const session of this.toTell) {
+      // Whoever has to wait is told with the next answer, or when a command has been answered.
+      this.mustWait = this.of.ctx.commands.full
+      if (this.mustWait) return
+      if (this.held.has(session)) {
+        this.held.answerNow(session)
+        continue
+      }
+      if (session.ordersInFlight || session.address === null || session.tenure === null) continue
+      this.toTell.delete(session)
+      if (now >= session.ordersBadUntil) this.of.ctx.fork(this.sendOrders(session))
+    }
+  }
+  /** The machine has something to be told before its next report. */
+  tell(machine: MachineId): void {
+    const session = this.of.machines.get(machine)
+    if (session !== undefined) this.toTell.add(session)
+  }
+  /** The machine isn't ours any more. */
+  drop(session: WorkerSession): void {
+    this.toTell.delete(session)
+  }
+  /** Answers held reports that wait for nothing any more, or for long enough. */
+  answerReady(): void {
+    this.held.answerReady()
+  }
+  stop(): void {
+    this.held.letAllGo(NOT_OURS)
+  }
+
+  private sendOrders(session: WorkerSession) {
+    return Effect.suspend(() => {
+      const now = this.of.ctx.time.moment()
+      const { address, tenure, token } = session
+      if (session.ordersInFlight || address === null || tenure === null || !this.of.isEntitled())
+        return Effect.void
+      const orders = session.orders(now, (task) => this.of.registry.finishIsDurable(task))
+      if (!orders.some((o) => o.verb !== "forget")) return Effect.void
+      session.sending(orders, now)
+      const body: OrdersRequest = { baton: token, tenure, orders }
+      const call = { address, method: "POST", path: "/orders", body, timeoutMs: CALL_TIMEOUT_MS } as const
+      return Effect.gen({ self: this }, function* () {
+        const reply = yield* Effect.result(this.of.ctx.commands.within(this.of.ctx.exchange.call(call)))
+        const status = Result.isSuccess(reply) ? reply.success.status : 0
+        session.sent(orders, token, status === 200 || status === 409)
+        if (this.of.isOver() || this.of.machines.get(session.id) !== session) return
+        const decoded = Result.isSuccess(reply) ? decodeReport(reply.success.body) : null
+        if (decoded === null || Result.isFailure(decoded)) {
+          session.ordersBadUntil = later(this.of.ctx.time.moment(), ORDERS_BACKOFF_MS)
+          return
+        }
+        const outcomes = session.observe(decoded.success, "direct", this.of.ctx.time.moment())
+        if (outcomes !== null) this.apply(session, outcomes)
+        this.afterBody(session)
+        if (this.mustWait || this.toTell.has(session)) this.pushOrders()
+      })
+    })
+  }
+}
