--- /dev/null
+++ b/packages/planner/src/give-back.ts
@@ -0,0 +1,36 @@
+/** Machines that jobs give back to the pool, one at a time each. */
+import type { JobId, MachineId } from "@sorreltally/wire"
+import { canGiveBack } from "./deadline.ts"
+import { type JobView, slotsIn } from "./model.ts"
+import { isIdle, type Slot } from "./slots.ts"
+
+export const releaseOne = (
+  job: JobView,
+  held: ReadonlyArray<Slot>,
+  running: number,
+  holders: Map<MachineId, JobId | null>,
+  pending = 0,
+): void => {
+  let idlest: Slot | null = null
+  let free = 0
+  for (const slot of held) {
+    free += slotsIn(job.request, slot.free)
+    const { state, busyTasks } = slot.machine
+    if (state === "up" && (idlest === null || busyTasks < idlest.machine.busyTasks)) idlest = slot
+  }
+  if (idlest === null) return
+  const input = {
+    pendingTasks: pending,
+    resources: running + free,
+    executionTime: job.executionS,
+    timeLeft: job.timeLeftS ?? Number.POSITIVE_INFINITY,
+  }
+  if (pending === 0 || canGiveBack(input, slotsIn(job.request, idlest.machine.type)))
+    holders.set(idlest.machine.id, null)
+}
+
+/** A job held back by its team's limit gives back a machine on which the limit lets nothing run. */
+export const releaseIdle = (held: ReadonlyArray<Slot>, holders: Map<MachineId, JobId | null>): void => {
+  const idle = held.find(isIdle)
+  if (idle !== undefined) holders.set(idle.machine.id, null)
+}
--- a/packages/planner/src/limits.ts
+++ b/packages/planner/src/limits.ts
@@ -5,12 +5,18 @@
  * room twice.
  */
 import type { TeamName } from "@sorreltally/wire"
-import { type JobView, slotsIn, type TeamRoom } from "./model.ts"
+import { type JobView, type Snapshot, slotsIn, type TeamRoom } from "./model.ts"
 
 /** How many tasks of the job a team's room holds; memory isn't limited by team. */
 export const tasksWithin = ({ request }: JobView, room: TeamRoom): number =>
   slotsIn(request, { ...room, mem_gb: Number.POSITIVE_INFINITY })
 
+/** How many more tasks the job's team may start. */
+export const roomOf = (job: JobView, teams: Snapshot["teams"]): number => {
+  const room = teams.get(job.request.owner)
+  return room === undefined ? 0 : tasksWithin(job, room)
+}
+
 /** Room of every team, used up task by task. */
 export class LimitRoom {
   private readonly teams = new Map<TeamName, TeamRoom>()
--- /dev/null
+++ b/packages/planner/src/renting.ts
@@ -0,0 +1,107 @@
+/** Which kinds of machine are asked for: the cheapest for the work, spot before steady. */
+import type { JobId, MachineId, MachineType } from "@sorreltally/wire"
+import {
+  allowed,
+  EPSILON,
+  fits,
+  type Hireable,
+  type JobView,
+  type MachineView,
+  minus,
+  type Room,
+  type Snapshot,
+  slotsIn,
+  zoneAllowance,
+} from "./model.ts"
+import type { Kind, Slot } from "./slots.ts"
+
+/** Above any price: steady machines are the fall-back once every fitting kind of spot is refused. */
+const STEADY_LAST = 1e6
+
+/** A kind that costs at most this much more is asked as well, rather than waiting for the cheapest one's answer. */
+const ABOUT_AS_CHEAP = 1.1
+
+/** Money for a second of one task's work on a machine that first has to boot. */
+const costOfWork = (job: JobView, missing: number, type: MachineType, price: number): number => {
+  const slots = Math.max(1, Math.min(missing, slotsIn(job.request, type)))
+  return (price * (type.startup_s + job.executionS)) / (slots * job.executionS)
+}
+/** What that costs at best, whether such machines can be had now or not. */
+const cheapestWork = (job: JobView, missing: number, snapshot: Snapshot): number => {
+  let cheapest = Number.POSITIVE_INFINITY
+  for (const type of snapshot.types) {
+    if (!fits(job.request, type)) continue
+    const price = job.request.loaners ? Math.min(type.spot_price, type.hourly) : type.hourly
+    cheapest = Math.min(cheapest, costOfWork(job, missing, type, price))
+  }
+  return cheapest
+}
+
+/**
+ * Asks for the cheapest kind that fits: spot before steady, the zone with
+ * fewer of our machines before others. What one rental can't hold is asked of
+ * kinds about as cheap. Returns for how many of the missing tasks it asked.
+ */
+export const hire = (
+  job: JobView,
+  missing: number,
+  steadyToo: boolean,
+  snapshot: Snapshot,
+  hires: Map<Hireable, { count: number; readonly holder: JobId }>,
+  coming: Array<Kind>,
+): number => {
+  if (missing <= 0) return 0
+  const dearest = snapshot.dearestSteady * cheapestWork(job, missing, snapshot)
+  const options: Array<{ readonly option: Hireable; readonly cost: number }> = []
+  for (const option of snapshot.market) {
+    if (!allowed(job.request, option) || zoneAllowance(job.request, job.zones, option.zone) <= 0) continue
+    const work = costOfWork(job, missing, option.type, option.price)
+    if (!option.spot && (!steadyToo || (job.request.loaners && work > dearest))) continue
+    options.push({ option, cost: work + (option.spot ? 0 : STEADY_LAST) })
+  }
+  options.sort((a, b) =>
+    Math.abs(a.cost - b.cost) < EPSILON ? a.option.ours - b.option.ours : a.cost - b.cost,
+  )
+  const limit = (options[0]?.cost ?? 0) * ABOUT_AS_CHEAP
+  let left = missing
+  for (const { option, cost } of options) {
+    if (left <= 0 || cost > limit + EPSILON) break
+    if (option.asked) continue
+    const asked = hires.get(option)
+    const per = slotsIn(job.request, option.type)
+    const count = Math.min(Math.ceil(left / per), snapshot.rentalSize - (asked?.count ?? 0))
+    if (count <= 0) continue
+    if (asked === undefined) hires.set(option, { count, holder: job.id })
+    else asked.count += count
+    const spare = per * count - left
+    left -= per * count
+    // What the last machine has to spare is there for the jobs that follow.
+    if (spare > 0) leaveToOthers(job, option, minus(option.type, job.request, per - spare), coming)
+  }
+  return missing - Math.max(0, left)
+}
+
+const leaveToOthers = (
+  job: JobView,
+  { type, zone, spot }: Hireable,
+  free: Room,
+  coming: Array<Kind>,
+): void => {
+  const machine: MachineView = {
+    id: "" as MachineId,
+    type,
+    zone,
+    spot,
+    free,
+    busyTasks: 0,
+    images: NO_IMAGES,
+    reserved: false,
+    state: "coming",
+    holder: job.id,
+  }
+  const slot: Slot = { machine, reserved: false, free }
+  const alike = coming.find((k) => k.type === type && k.zone === zone && k.spot === spot)
+  if (alike === undefined) coming.push({ type, zone, spot, slots: [slot] })
+  else alike.slots.push(slot)
+}
+const NO_IMAGES = { has: () => false }
