Empty machines are kept for any queued work that no limit holds back, as before

Since machines that limits let nothing run on go back, an empty machine went back at the end of its window whenever the last plan had no use for it, also where no limit binds: work that was queued a moment later had to rent anew. Now only work of jobs that their team's limit holds back is judged by the plan; for all other work the rule is as it was.

--- a/packages/controller/src/engine.ts
+++ b/packages/controller/src/engine.ts
@@ -96,6 +96,8 @@
   private workWaits = false
   /** Empty machines that the last plan found no use for. */
   private idle: ReadonlySet<MachineId> = new Set()
+  /** Jobs that it found held back by their teams' limits. */
+  private heldBack: ReadonlySet<JobId> = new Set()
   /** Room on machines that are up for which it found none. */
   private unusedCores = 0
   private lookedAt: Moment = NEVER
@@ -137,6 +139,7 @@
       steadyWanted: () => this.ctx.time.moment() < later(this.steadyWantedAt, STEADY_LINGERS_MS),
       reserve: () => this.reserve(),
       isIdle: (id) => this.idle.has(id),
+      heldBack: () => this.heldBack,
     })
   }
 
@@ -588,6 +591,7 @@
     this.carryOut(decided, now)
     this.workWaits = decided.unplaced.length > 0
     this.idle = decided.idle
+    this.heldBack = decided.heldBack
     this.unusedCores = decided.unusedCores
     if (decided.steadyWanted) {
       this.steadyWantedAt = now
--- a/packages/controller/src/rentals.ts
+++ b/packages/controller/src/rentals.ts
@@ -1,7 +1,8 @@
 import { DEADLINE } from "@sorreltally/membership"
-import { allowed, type Need, type PlannedHire, type Reserve, spareCores } from "@sorreltally/planner"
+import { allowed, type Need, type PlannedHire, type Reserve, slotsIn, spareCores } from "@sorreltally/planner"
 import {
   type HireName,
+  type JobId,
   type ListedMachine,
   later,
   type MachineId,
@@ -45,6 +46,8 @@
   readonly reserve: () => Reserve
   /** Did the last plan find no use for this empty machine? */
   readonly isIdle: (id: MachineId) => boolean
+  /** Jobs that it found held back by their teams' limits. */
+  readonly heldBack: () => ReadonlySet<JobId>
 }
 
 /** One part's dealings with the cloud: what it rents, adopts, and gives back. */
@@ -228,6 +231,7 @@
     const windowMs = of.ctx.operators.provisioning["window-s"] * 1000
     let spotUp = false
     for (const m of of.machines.values()) spotUp ||= m.entry.loaners && m.up
+    const wanted = this.queuedShapes()
     // Another part would rent a dear one of its own in its place.
     const wantedBy = ({ type, entry }: WorkerSession) => {
       const kind = { type, zone: entry.site, spot: entry.loaners }
@@ -253,8 +257,9 @@
       if (!session.entry.loaners && spotUp && !this.events.steadyWanted() && !wantedBy(session))
         tenancy.closing = true
       if (session.placements.size > 0 || tenancy.holder !== null) continue
-      // Guards against holding machines for queued work that a team's limit lets nothing start of.
-      if (!this.events.isIdle(session.id)) continue
+      if (wanted.some((request) => slotsIn(request, session.type) > 0)) continue
+      // Guards against holding machines for queued work of which a team's limit lets nothing start.
+      if (this.events.heldBack().size > 0 && !this.events.isIdle(session.id)) continue
       due.push(session)
     }
     if (due.length === 0) return
@@ -301,4 +306,13 @@
     if (session.deafSince !== null && now > later(session.deafSince, DEAF_MS)) return "hears nothing"
     return null
   }
+
+  /** What of the queued work that no limit holds back an idle machine could take. */
+  private queuedShapes() {
+    const heldBack = this.events.heldBack()
+    const shapes = []
+    for (const job of this.of.jobs.values())
+      if (job.queued > 0 && !job.withdrawn && !heldBack.has(job.id)) shapes.push(job.request)
+    return shapes
+  }
 }
--- a/packages/planner/src/model.ts
+++ b/packages/planner/src/model.ts
@@ -167,6 +167,8 @@
   readonly claims: ReadonlyMap<TeamName, TeamRoom>
   /** Cores on machines that are up for which our queued tasks have no use because of their teams' limits. */
   readonly unusedCores: number
+  /** Jobs of which the teams' limits let some queued tasks neither start nor rent. */
+  readonly heldBack: ReadonlySet<JobId>
   /** Machines that are up, empty and of use to no queued task: none fits, or the teams' limits let none start. */
   readonly idle: ReadonlySet<MachineId>
 }
--- a/packages/planner/src/plan.ts
+++ b/packages/planner/src/plan.ts
@@ -125,6 +125,7 @@
     claims: rentable.taken(),
     // Otherwise it is fragments, or waits for a report: no reason to empty a machine.
     unusedCores: limited.length > 0 ? unusedCores(up) : 0,
+    heldBack: new Set(limited.map(({ id }) => id)),
     idle: new Set(up.filter(isIdle).map(({ machine }) => machine.id)),
   }
 }
