--- a/packages/controller/src/engine.ts
+++ b/packages/controller/src/engine.ts
@@ -10,7 +10,6 @@
   plan,
   type QuotaNeed,
   type Reserve,
-  slotsIn,
   type TeamRoom,
 } from "@sorreltally/planner"
 import { cancellationBudget } from "@sorreltally/settings"
@@ -41,6 +40,7 @@
 import { Draining } from "./draining.ts"
 import { HeldReports } from "./held.ts"
 import { JobRegistry } from "./job-registry.ts"
+import { Lending } from "./lending.ts"
 import { machineNeeds } from "./machine-needs.ts"
 import { preempt } from "./preempt.ts"
 import { quotaNeeds, shareNeed, teamClaims, unusedCores } from "./quota-needs.ts"
@@ -57,8 +57,6 @@
 const LOOK_MS = 700
 const CALL_TIMEOUT_MS = 3_000
 const ORDERS_BACKOFF_MS = 4_000
-/** How long a lent machine is taken off the borrower's need: until its next word has surely come. */
-const GIVEN_COUNTS_MS = 1_500
 /** While refused kinds of spot are asked again, steady machines stay as they were wanted before. */
 const STEADY_LINGERS_MS = 10_000
 const STATUS_EVERY_MS = 15_000
@@ -84,9 +82,8 @@
   private readonly toTell = new Set<WorkerSession>()
   /** Some of them wait for others' commands to be answered. */
   private mustWait = false
-  private readonly gifts: Array<{ readonly to: PartName; readonly slots: number; readonly until: Moment }> =
-    []
   private readonly draining = new Draining()
+  private readonly lending: Lending
   private readonly arrivals = new Arrivals()
   private reserveRank = Number.NEGATIVE_INFINITY
   private steadyWantedAt: Moment = NEVER
@@ -132,10 +129,11 @@
       forgotten: (job) => this.releaseHolder(job),
       ready: () => this.ready,
     })
+    this.lending = new Lending(this, this.blocks, (task) => this.registry.finishIsDurable(task))
     this.rentals = new Rentals(this, this.blocks, active, () => this.over, {
       changed: () => this.planSignal.notify(),
       deleted: (session) => this.apply(session, session.clearAll("machine deleted")),
-      lend: (session, to, needs) => this.lendMachine(session, to, needs),
+      lend: (session, to, needs) => this.lending.lend(session, to, needs),
       steadyWanted: () => this.ctx.time.moment() < later(this.steadyWantedAt, STEADY_LINGERS_MS),
       reserve: () => this.reserve(),
       isIdle: (id) => this.idle.has(id),
@@ -565,11 +563,11 @@
     // Work that its team's limit holds back is no reason to keep a machine from others.
     const room = new LimitRoom(limits)
     const startable = jobs.filter((job) => room.tasksLeft(job) > 0)
-    const lent = lend(machines, startable, needs, share, this.given(now), reserve)
+    const lent = lend(machines, startable, needs, share, this.lending.lentLately(now), reserve)
     if (lent.length > 0) {
       for (const { machine, to } of lent) {
         const session = this.machines.get(machine)
-        if (session !== undefined) this.lendMachine(session, to, needs)
+        if (session !== undefined) this.lending.lend(session, to, needs)
       }
       machines = machineViews(this, now, reserve, false)
     }
@@ -615,7 +613,9 @@
   private makeRoom(decided: Plan, needs: ReadonlyArray<Need>, share: number, now: Moment): void {
     if (decided.unplaced.length === 0 && !needs.some((n) => n.pressing > 0)) return
     const views: ReadonlyArray<MachineView> = machineViews(this, now, this.reserve(), true)
-    preempt(this, decided, needs, share, this.given(now), views, now, (machine) => this.tell(machine))
+    preempt(this, decided, needs, share, this.lending.lentLately(now), views, now, (machine) =>
+      this.tell(machine),
+    )
   }
 
   private hasMostMachines(): boolean {
@@ -631,37 +631,6 @@
     return all === 0 ? 1 : Math.min(1, this.machines.size / all)
   }
 
-  /** Slots lent so lately that the borrower's need may not show it yet. */
-  private given(now: Moment): ReadonlyMap<PartName, number> {
-    while (this.gifts[0] !== undefined && this.gifts[0].until < now) this.gifts.shift()
-    const given = new Map<PartName, number>()
-    for (const { to, slots } of this.gifts) given.set(to, (given.get(to) ?? 0) + slots)
-    return given
-  }
-
-  /** Hands an empty machine to another part, in one durable step that also raises its token. */
-  private lendMachine(session: WorkerSession, to: PartName, needs: ReadonlyArray<Need>): void {
-    const { id } = session
-    const tenancy = this.tenancies.get(id)
-    if (tenancy === undefined || tenancy.moving || tenancy.returning || this.blocks.isEditing(id)) return
-    if (!session.empty((task) => this.registry.finishIsDurable(task)) || session.deafSince !== null) return
-    if (this.ctx.membership.owner(to) === null) return
-    tenancy.moving = true
-    tenancy.holder = null
-    const shape = needs.find((n) => n.part === to)?.shape
-    if (shape !== undefined) {
-      const until = later(this.ctx.time.moment(), GIVEN_COUNTS_MS)
-      this.gifts.push({ to, slots: slotsIn(shape, session.type), until })
-    }
-    const introduction = session.introduction(this.ctx.time.moment())
-    this.blocks.edit(id, { kind: "move", to }, (moved) => {
-      tenancy.moving = false
-      if (!moved) return
-      this.ctx.log.debug("machine lent", { machine: id, to })
-      this.ctx.introduce(to, id, introduction)
-    })
-  }
-
   /** The former owner tells us of a machine that is now ours. */
   introduced(id: MachineId, by: Introduction): void {
     this.machines.get(id)?.introduced(by, this.ctx.time.moment())
--- /dev/null
+++ b/packages/controller/src/lending.ts
@@ -0,0 +1,58 @@
+import { type Need, slotsIn } from "@sorreltally/planner"
+import { later, type Moment, type PartName, type TaskId } from "@sorreltally/wire"
+import type { WorkerSession } from "@sorreltally/workers"
+import type { BlockWriter } from "./blocks.ts"
+import type { PartView } from "./context.ts"
+
+/** How long a lent machine is taken off the borrower's need: until its next word has surely come. */
+const LOAN_COUNTS_MS = 1_500
+
+/** Task slots of a machine that was lent a moment ago. */
+interface Loan {
+  readonly to: PartName
+  readonly slots: number
+  readonly until: Moment
+}
+
+/** Hands one part's empty machines to other parts. */
+export class Lending {
+  private readonly loans: Array<Loan> = []
+
+  constructor(
+    private readonly of: PartView,
+    private readonly blocks: BlockWriter,
+    private readonly finishIsDurable: (task: TaskId) => boolean,
+  ) {}
+
+  /** Slots lent to each part so lately that its need may not show them yet. */
+  lentLately(now: Moment): ReadonlyMap<PartName, number> {
+    while (this.loans[0] !== undefined && this.loans[0].until < now) this.loans.shift()
+    const slotsByPart = new Map<PartName, number>()
+    for (const { to, slots } of this.loans) slotsByPart.set(to, (slotsByPart.get(to) ?? 0) + slots)
+    return slotsByPart
+  }
+
+  /** Hands an empty machine over, in one durable step that also raises its token. */
+  lend(session: WorkerSession, to: PartName, needs: ReadonlyArray<Need>): void {
+    const { id } = session
+    const { ctx } = this.of
+    const tenancy = this.of.tenancies.get(id)
+    if (tenancy === undefined || tenancy.moving || tenancy.returning || this.blocks.isEditing(id)) return
+    if (!session.empty(this.finishIsDurable) || session.deafSince !== null) return
+    if (ctx.membership.owner(to) === null) return
+    tenancy.moving = true
+    tenancy.holder = null
+    const shape = needs.find((n) => n.part === to)?.shape
+    if (shape !== undefined) {
+      const until = later(ctx.time.moment(), LOAN_COUNTS_MS)
+      this.loans.push({ to, slots: slotsIn(shape, session.type), until })
+    }
+    const introduction = session.introduction(ctx.time.moment())
+    this.blocks.edit(id, { kind: "move", to }, (moved) => {
+      tenancy.moving = false
+      if (!moved) return
+      ctx.log.debug("machine lent", { machine: id, to })
+      ctx.introduce(to, id, introduction)
+    })
+  }
+}
--- a/packages/controller/src/preempt.ts
+++ b/packages/controller/src/preempt.ts
@@ -22,7 +22,7 @@
   decided: Plan,
   needs: ReadonlyArray<Need>,
   share: number,
-  given: ReadonlyMap<PartName, number>,
+  lentLately: ReadonlyMap<PartName, number>,
   views: ReadonlyArray<MachineView>,
   now: Moment,
   stoppedOn: (machine: MachineId) => void,
@@ -111,7 +111,7 @@
     }
   }
   for (const need of foreign) {
-    let missing = Math.ceil(need.pressing * share) - (given.get(need.part) ?? 0)
+    let missing = Math.ceil(need.pressing * share) - (lentLately.get(need.part) ?? 0)
     for (const view of soon) {
       if (view.state === "up" && view.busyTasks === 0 && allowed(need.shape, view)) {
         missing -= slotsIn(need.shape, view.type)
--- a/packages/planner/src/lend.ts
+++ b/packages/planner/src/lend.ts
@@ -72,8 +72,8 @@
   jobs: ReadonlyArray<JobView>,
   needs: ReadonlyArray<Need>,
   share: number,
-  /** Slots that we gave to a part so lately that its need can't show it yet. */
-  given: ReadonlyMap<PartName, number>,
+  /** Slots lent to a part so lately that its need can't show them yet. */
+  lentLately: ReadonlyMap<PartName, number>,
   reserve: Reserve,
 ): ReadonlyArray<Lent> => {
   const empty = new Set(machines.filter((m) => m.state === "up" && m.busyTasks === 0))
@@ -81,7 +81,7 @@
   if (needs.length === 0 || empty.size === 0) return out
   let spare = spareCores(machines, reserve)
   for (const need of [...needs].sort((a, b) => b.rank - a.rank)) {
-    let left = Math.ceil(need.tasks * share) - (given.get(need.part) ?? 0)
+    let left = Math.ceil(need.tasks * share) - (lentLately.get(need.part) ?? 0)
     const cached = (m: MachineView) => Number(m.images.has(need.shape.bundle))
     for (const machine of [...empty].sort((a, b) => cached(b) - cached(a))) {
       if (left <= 0) break
