--- a/packages/controller/src/engine.ts
+++ b/packages/controller/src/engine.ts
@@ -359,7 +359,7 @@
         if (decoded.success.host !== session.id) return
         const outcomes = session.observe(decoded.success, "direct", time.moment())
         if (outcomes !== null) this.apply(session, outcomes)
-        else if (session.reborn(decoded.success, since, time.moment()))
+        else if (session.restarted(decoded.success, since, time.moment()))
           this.ctx.log.info("worker began anew", { machine: session.id, tenure: decoded.success.tenure })
         this.afterBody(session)
       }).pipe(Effect.ensuring(Effect.sync(() => this.inspecting.delete(session.id)))),
@@ -367,11 +367,11 @@
   }
 
   private afterBody(session: WorkerSession): void {
-    if (session.needsFence() && !this.blocks.isEditing(session.id)) {
-      if (session.deafSince !== null)
+    if (session.needsHigherToken() && !this.blocks.isEditing(session.id)) {
+      if (session.receivesNothingSince !== null)
         this.ctx.log.info("machine has to show that it hears", { machine: session.id })
       this.blocks.edit(session.id, { kind: "fence" }, (done) => {
-        if (done) session.fenced()
+        if (done) session.tokenRaised()
       })
     }
     if (session.warningUntil !== null) this.planSignal.notify()
--- a/packages/controller/src/lending.ts
+++ b/packages/controller/src/lending.ts
@@ -38,7 +38,7 @@
     const { ctx } = this.of
     const tenancy = this.of.tenancies.get(id)
     if (tenancy === undefined || tenancy.moving || tenancy.returning || this.blocks.isEditing(id)) return
-    if (!session.empty(this.finishIsDurable) || session.deafSince !== null) return
+    if (!session.empty(this.finishIsDurable) || session.receivesNothingSince !== null) return
     if (ctx.membership.owner(to) === null) return
     tenancy.moving = true
     tenancy.holder = null
