--- a/packages/controller/src/job-ends.ts
+++ b/packages/controller/src/job-ends.ts
@@ -125,8 +125,8 @@
         mirror.hint({ path, v: page, stamp: written.success.epoch })
         this.grew.notify()
       } else {
-        // Without an answer it may have been written, or may be later: as the
-        // page's stamp is a condition, this one or the next succeeds, not both.
+        // Without an answer it may have been written, or may be later: not over a newer
+        // write of this page, and beside one of another page it says the same of its jobs.
         yield* Effect.sleep(PAUSE_MS)
         const fresh = yield* Effect.result(freshness.since)
         if (Result.isFailure(fresh)) return
