--- a/packages/testkit/src/shrink.ts
+++ b/packages/testkit/src/shrink.ts
@@ -1,4 +1,4 @@
-import { type DayResult, runDay } from "./day-run.ts"
+import type { DayResult } from "./day-run.ts"
 import type { RandomDay, TroubleEvent } from "./random-day.ts"
 import type { UserEvent } from "./random-jobs.ts"
 
@@ -27,11 +27,16 @@
  * Leaves out events, halves first and single ones last, as long as the day
  * still fails in the same way; stops after `mostRuns`.
  */
-export const shrink = (day: RandomDay, failed: DayResult, mostRuns: number): RandomDay => {
+export const shrink = (
+  day: RandomDay,
+  failed: DayResult,
+  run: (day: RandomDay) => DayResult,
+  mostRuns: number,
+): RandomDay => {
   const kind = failureKind(failed)
   let smallest = day
   let runs = 0
-  const stillFails = (candidate: RandomDay) => runs++ < mostRuns && failureKind(runDay(candidate)) === kind
+  const stillFails = (candidate: RandomDay) => runs++ < mostRuns && failureKind(run(candidate)) === kind
   let size = Math.ceil(piecesOf(day).length / 2)
   while (runs < mostRuns) {
     let dropped = false
--- a/packages/testkit/src/sweep.ts
+++ b/packages/testkit/src/sweep.ts
@@ -95,7 +95,7 @@
   }
   private tellFailure(result: DayResult): void {
     const day = drawDay(result.seed)
-    const shown = values.shrink ? shrink(day, result, MOST_SHRINKING_RUNS) : day
+    const shown = values.shrink ? shrink(day, result, runDay, MOST_SHRINKING_RUNS) : day
     process.stdout.write(`\n; seed ${result.seed}: ${result.failures.join("; ")}\n${scenarioOf(shown)}\n\n`)
   }
 }
--- /dev/null
+++ b/packages/testkit/test/shrink.test.ts
@@ -0,0 +1,37 @@
+import assert from "node:assert/strict"
+import { test } from "node:test"
+import type { DayResult } from "../src/day-run.ts"
+import { drawDay, type RandomDay, scenarioOf } from "../src/random-day.ts"
+import { shrink } from "../src/shrink.ts"
+
+const MOST_RUNS = 500
+const resultOf = ({ seed }: RandomDay, failures: ReadonlyArray<string>): DayResult => ({
+  seed,
+  failures,
+  pairs: [],
+  starts: 0,
+  tookMs: 0,
+})
+
+test("a failing day is shrunk to the events that it fails by", () => {
+  const day = drawDay(1)
+  const trouble = day.troubles[2]!
+  const cancelled = day.users.find(({ does }) => does === "cancel")!
+  const run = (candidate: RandomDay) => {
+    const fails = candidate.troubles.includes(trouble) && candidate.users.includes(cancelled)
+    // Times and names differ from run to run, and other days may fail in other ways.
+    const count = candidate.users.length
+    return resultOf(candidate, fails ? [`quota at ${count}.5 s: run-00000${count % 10}/1`] : ["went_back"])
+  }
+  const smallest = shrink(day, run(day), run, MOST_RUNS)
+  assert.deepEqual(smallest.troubles, [trouble])
+  assert.deepEqual(
+    smallest.users.map(({ does, job }) => [does, job]),
+    [
+      ["submit", cancelled.job],
+      ["cancel", cancelled.job],
+    ],
+  )
+  // Jobs are counted anew.
+  assert.match(scenarioOf(smallest), /\(cancel 0\)/)
+})
