--- a/packages/controller/src/blocks.ts
+++ b/packages/controller/src/blocks.ts
@@ -68,12 +68,19 @@
 
   edit(id: MachineId, edit: Edit, settled: (done: boolean) => void = () => {}): void {
     const entry = this.book.get(id)
-    if (this.edits.has(id)) return
+    const queued = this.edits.get(id)
+    if (queued !== undefined) {
+      const outcome = this.outcomeOf(queued, entry)
+      if (outcome === "open") return
+      queued.settled(outcome === "done")
+    }
     this.edits.set(id, { edit, token: entry?.token ?? (0 as Token), settled })
     this.signal.notify()
   }
+  /** Guards against an edit that was overtaken standing in the way of what is decided next. */
   isEditing(id: MachineId): boolean {
-    return this.edits.has(id)
+    const queued = this.edits.get(id)
+    return queued !== undefined && this.outcomeOf(queued, this.book.get(id)) === "open"
   }
   add(machines: NewMachines, adopted: boolean, settled: () => void): void {
     const most = blockSize(this.state.limits.value_kb)
@@ -224,13 +231,14 @@
       }
       const done = yield* Effect.result(this.state.multi(when, apply, "paid"))
       if (Result.isFailure(done) || !done.success.ok) return yield* this.catchUp()
-      for (const [id] of written) this.edits.delete(id)
+      const current = written.filter(([id, queued]) => this.edits.get(id) === queued)
+      for (const [id] of current) this.edits.delete(id)
       const stamp = done.success.epoch
       for (const change of apply) {
         if ("set" in change) mirror.hint({ path: change.set, v: change.v, stamp })
         else mirror.bury(change.delete, stamp)
       }
-      for (const [, { settled }] of written) settled(true)
+      for (const [, { settled }] of current) settled(true)
     })
   }
 }
