Starved jobs of several parts: the oldest goes first, and what is lent to it is used

Lending, emptying and preempting judged by different orders: a machine was emptied for work that it would never be lent to, and a starved job's first tasks were stopped as soon as they were placed.

--- a/packages/controller/src/engine.ts
+++ b/packages/controller/src/engine.ts
@@ -11,6 +11,7 @@
   type QuotaNeed,
   type Reserve,
   type TeamRoom,
+  wouldLend,
 } from "@sorreltally/planner"
 import { type Entry, keys } from "@sorreltally/state"
 import {
@@ -371,7 +372,9 @@
       }
       machines = machineViews(this, now, reserve, false)
     }
-    machines = this.draining.apply(machines, needs, this.unusedCores, this.hasMostMachines())
+    // Guards against machines that are emptied for others, never lent, and of no use to our own work.
+    const lendable = needs.filter((need) => wouldLend(need, startable, machines))
+    machines = this.draining.apply(machines, lendable, this.unusedCores, this.hasMostMachines())
     const decided = plan({
       jobs,
       machines,
@@ -395,7 +398,7 @@
       this.steadyWantedAt = now
       for (const tenancy of this.tenancies.values()) tenancy.closing = false
     }
-    if (look) this.makeRoom(decided, needs, share, now)
+    if (look) this.makeRoom(decided, lendable, share, now)
     this.ctx.publish(this.part, {
       needs: machineNeeds(this.part, decided.unplaced),
       quotas: quotaNeeds(this, jobs, teams, unused).filter(({ team }) => !this.shares.yields(team)),
--- a/packages/controller/src/machine-needs.ts
+++ b/packages/controller/src/machine-needs.ts
@@ -26,6 +26,7 @@
         rank: job.rank,
         tasks,
         pressing: job.withinGuarantee ? Math.min(pressing, tasks) : 0,
+        since: job.submitted,
       }),
     ),
 ]
@@ -36,23 +37,25 @@
  * before any other work. Jobs that fit the same machines ask together.
  */
 const starvedNeeds = (part: PartName, unplaced: ReadonlyArray<Unplaced>): ReadonlyArray<Need> => {
-  const byKind = new Map<string, { readonly first: JobView; tasks: number }>()
+  const byKind = new Map<string, { readonly first: JobView; tasks: number; since: number }>()
   for (const { job, tasks } of unplaced) {
     if (tasks === 0 || !isStarved(job)) continue
     const kind = machinesOf(job)
-    const alike = byKind.get(kind) ?? { first: job, tasks: 0 }
+    const alike = byKind.get(kind) ?? { first: job, tasks: 0, since: job.submitted }
     alike.tasks += Math.min(tasks, tasksToBegin(job))
+    alike.since = Math.min(alike.since, job.submitted)
     byKind.set(kind, alike)
   }
   return [...byKind.values()]
     .sort((a, b) => b.tasks - a.tasks)
     .slice(0, STARVED_TOLD)
-    .map(({ first, tasks }) => ({
+    .map(({ first, tasks, since }) => ({
       part,
       shape: shapeOf(first.request),
       rank: STARVED_RANK,
       tasks,
       pressing: 0,
+      since,
     }))
 }
 
--- a/packages/controller/src/preempt.ts
+++ b/packages/controller/src/preempt.ts
@@ -2,6 +2,7 @@
 import {
   allowed,
   choosePreemptions,
+  hasWaitedTooLong,
   type MachineView,
   minus,
   type Need,
@@ -10,11 +11,29 @@
   slotsIn,
   type Victim,
 } from "@sorreltally/planner"
-import { type MachineId, type Moment, type PartName, urgencyRank } from "@sorreltally/wire"
+import {
+  later,
+  type MachineId,
+  type Moment,
+  type PartName,
+  urgencyRank,
+  type WallTime,
+} from "@sorreltally/wire"
 import type { PartView } from "./context.ts"
 
 /** Room is made for this many jobs at a time, the most urgent ones. */
 const MOST_JOBS = 6
+/** The first tasks of a job that waited too long run at least this long: users count no shorter start. */
+const FIRST_RUNS_MS = 30_000
+
+/**
+ * Guards against a job that waited too long, is placed ahead of all other work
+ * and stopped for it at once, again and again.
+ */
+const isFirstOfStarved = ({ job, runningSince }: Placement, wall: WallTime, now: Moment): boolean =>
+  job.done === 0 &&
+  hasWaitedTooLong((wall - job.submitted) / 1000) &&
+  (runningSince === null || now < later(runningSince, FIRST_RUNS_MS))
 
 /** Stops work of lower rank where work of higher rank would otherwise come too late. */
 export const preempt = (
@@ -45,6 +64,7 @@
         continue
       }
       if (urgencyRank[request.urgency] >= highest) continue
+      if (isFirstOfStarved(placement, part.ctx.time.wall(), now)) continue
       const saves = request.snapshot_s > 0
       const ranS = placement.runningSince === null ? 0 : (now - placement.runningSince) / 1000
       const on = victims.get(view.id) ?? []
--- a/packages/controller/src/views.ts
+++ b/packages/controller/src/views.ts
@@ -89,6 +89,7 @@
       zones,
       timeLeftS: timeLeft(part, request, ageS, executionS),
       ageS,
+      submitted: job.submitted,
       executionS,
       startWithinS: nextTarget(startTargets(part, request.lane, executionS), ageS, 0),
       unbegun: job.unbegun,
--- a/packages/controller/test/draining.test.ts
+++ b/packages/controller/test/draining.test.ts
@@ -24,6 +24,7 @@
     rank,
     tasks: 4,
     pressing: 0,
+    since: 0,
     shape: { cores: 2, accelerators: 0, mem_gb: 1, loaners: true },
   }) as unknown as Need
 const drained = (views: ReadonlyArray<MachineView>): ReadonlyArray<string> =>
--- a/packages/planner/src/lend.ts
+++ b/packages/planner/src/lend.ts
@@ -10,6 +10,7 @@
   spareCores,
   type TaskShape,
 } from "./model.ts"
+import { isStarved, STARVED_RANK } from "./overdue.ts"
 
 /** Queued tasks that a part has no room for, as it tells the other parts. */
 export interface Need {
@@ -19,6 +20,8 @@
   readonly tasks: number
   /** Those of them for which room is to be made by stopping work of lower rank. */
   readonly pressing: number
+  /** When the oldest of its jobs was submitted, by the time of day in ms; between starved jobs it decides. */
+  readonly since: number
 }
 
 /** More of a team's limit than its share, as a part tells the other parts. */
@@ -53,14 +56,37 @@
   readonly to: PartName
 }
 
-/** The highest rank among our own queued tasks that this machine could serve. */
-const ownRank = (jobs: ReadonlyArray<JobView>, machine: MachineView): number => {
-  let rank = Number.NEGATIVE_INFINITY
-  for (const job of jobs)
-    if (job.queued > 0 && job.mayStart && allowed(job.request, machine)) rank = Math.max(rank, job.rank)
-  return rank
+/** How urgent work is, compared across parts. */
+type Standing = Pick<Need, "rank" | "since">
+
+/**
+ * Does the need go before our own work? Guards against machines that go from
+ * part to part without ever being used, each of which has starved jobs: of
+ * those the oldest goes first, whichever part it belongs to.
+ */
+const outranks = (need: Standing, own: Standing): boolean =>
+  need.rank > own.rank || (need.rank === STARVED_RANK && own.rank === STARVED_RANK && need.since < own.since)
+
+/** The most urgent of our own queued work that this machine could serve. */
+const ownStanding = (jobs: ReadonlyArray<JobView>, machine: MachineView): Standing => {
+  let most: Standing = { rank: Number.NEGATIVE_INFINITY, since: Number.POSITIVE_INFINITY }
+  for (const job of jobs) {
+    if (job.queued === 0 || !job.mayStart || !allowed(job.request, machine)) continue
+    const rank = isStarved(job) ? STARVED_RANK : job.rank
+    const standing = { rank, since: job.submitted }
+    if (rank > most.rank || outranks(standing, most)) most = standing
+  }
+  return most
 }
 
+/** Would some machine of ours be lent to this need once it is empty? */
+export const wouldLend = (
+  need: Need,
+  jobs: ReadonlyArray<JobView>,
+  machines: ReadonlyArray<MachineView>,
+): boolean =>
+  machines.some((machine) => allowed(need.shape, machine) && outranks(need, ownStanding(jobs, machine)))
+
 /**
  * Empty machines that other parts need more than we do: those needed by work
  * of higher rank than what we have queued, or that we have no work for at all.
@@ -80,12 +106,12 @@
   const out: Array<Lent> = []
   if (needs.length === 0 || empty.size === 0) return out
   let spare = spareCores(machines, reserve)
-  for (const need of [...needs].sort((a, b) => b.rank - a.rank)) {
+  for (const need of [...needs].sort((a, b) => b.rank - a.rank || a.since - b.since)) {
     let left = Math.ceil(need.tasks * share) - (lentLately.get(need.part) ?? 0)
     const cached = (m: MachineView) => Number(m.images.has(need.shape.bundle))
     for (const machine of [...empty].sort((a, b) => cached(b) - cached(a))) {
       if (left <= 0) break
-      if (!allowed(need.shape, machine) || ownRank(jobs, machine) >= need.rank) continue
+      if (!allowed(need.shape, machine) || !outranks(need, ownStanding(jobs, machine))) continue
       if (need.rank < reserve.rank && machine.reserved) {
         if (spare < machine.free.cores) continue
         spare -= machine.free.cores
--- a/packages/planner/src/model.ts
+++ b/packages/planner/src/model.ts
@@ -68,6 +68,8 @@
   /** Seconds until the next time by which it should be done and still can be; null: no deadline. */
   readonly timeLeftS: number | null
   readonly ageS: number
+  /** Time of day of its submission, by the accepting node's clock, in ms: the same on every node. */
+  readonly submitted: number
   /** Current estimate of a task's run time. */
   readonly executionS: number
   /** Seconds within which a queued task should start, by the next of the aims that still can be met; null: none stated. */
--- a/packages/planner/src/overdue.ts
+++ b/packages/planner/src/overdue.ts
@@ -25,6 +25,7 @@
 
 /** Some of its tasks go first across all parts. */
 export const isStarved = ({ unbegun, queued, ageS }: Waiting): boolean =>
-  unbegun && queued > 0 && ageS > STARVED_S
+  unbegun && queued > 0 && hasWaitedTooLong(ageS)
+export const hasWaitedTooLong = (ageS: number): boolean => ageS > STARVED_S
 
 export const tasksToBegin = ({ queued }: Pick<Waiting, "queued">): number => Math.ceil(queued * TO_BEGIN)
--- a/packages/planner/test/limits.test.ts
+++ b/packages/planner/test/limits.test.ts
@@ -46,6 +46,7 @@
   zones: new Map(),
   timeLeftS: 100,
   ageS: 0,
+  submitted: 0,
   executionS: 20,
   startWithinS: null,
   unbegun: true,
--- a/packages/planner/test/order.test.ts
+++ b/packages/planner/test/order.test.ts
@@ -13,6 +13,7 @@
   zones: new Map(),
   timeLeftS,
   ageS: 0,
+  submitted: 0,
   executionS: 10,
   startWithinS: null,
   unbegun: true,
--- a/packages/planner/test/plan.test.ts
+++ b/packages/planner/test/plan.test.ts
@@ -37,6 +37,7 @@
   zones: new Map(),
   timeLeftS: null,
   ageS: 0,
+  submitted: 0,
   executionS: 10,
   startWithinS: null,
   unbegun: true,
