--- a/packages/controller/src/draining.ts
+++ b/packages/controller/src/draining.ts
@@ -3,7 +3,7 @@
  * Only empty machines change parts, and under load none is ever empty by
  * itself: what ends makes room for what waits here.
  */
-import { allowed, type MachineView, type Need, STARVED_RANK } from "@sorreltally/planner"
+import { allowed, type Lent, type MachineView, type Need, STARVED_RANK } from "@sorreltally/planner"
 import type { MachineId, PartName } from "@sorreltally/wire"
 
 export class Draining {
@@ -34,6 +34,17 @@
     return views.map((view) => (drained.has(view.id) ? { ...view, state: "closing" as const } : view))
   }
 
+  /**
+   * Machines that are empty by now, for whom they were emptied: they go there
+   * whatever waits here, or they would be of use to nobody.
+   */
+  *emptied(views: ReadonlyArray<MachineView>): Iterable<Lent> {
+    for (const [to, machine] of this.machines) {
+      const view = views.find(({ id }) => id === machine)
+      if (view !== undefined && view.busyTasks === 0) yield { machine, to }
+    }
+  }
+
   /**
    * The one that is empty soonest, as far as the number of its tasks tells,
    * and whose tasks the unused room has place for. It stays chosen until it is
--- a/packages/controller/src/engine.ts
+++ b/packages/controller/src/engine.ts
@@ -10,6 +10,7 @@
   plan,
   type QuotaNeed,
   type Reserve,
+  STARVED_RANK,
   type TeamRoom,
   wouldLend,
 } from "@sorreltally/planner"
@@ -374,7 +375,12 @@
     }
     // Guards against machines that are emptied for others, never lent, and of no use to our own work.
     const lendable = needs.filter((need) => wouldLend(need, startable, machines))
-    machines = this.draining.apply(machines, lendable, this.unusedCores, this.hasMostMachines())
+    const served = needs.filter((need) => need.rank >= STARVED_RANK || lendable.includes(need))
+    machines = this.draining.apply(machines, served, this.unusedCores, this.hasMostMachines())
+    for (const { machine, to } of this.draining.emptied(machines)) {
+      const session = this.machines.get(machine)
+      if (session !== undefined) this.lending.lend(session, to, needs)
+    }
     const decided = plan({
       jobs,
       machines,
--- a/packages/controller/src/shares.ts
+++ b/packages/controller/src/shares.ts
@@ -60,8 +60,7 @@
   private readonly busy = new Set<TeamName>()
   private readonly idleSince = new Map<TeamName, Moment>()
   private readonly surplusSince = new Map<TeamName, Moment>()
-  /** Since when the share would have let a task start, and none did. */
-  private readonly startableSince = new Map<TeamName, Moment>()
+  private readonly lastStart = new Map<TeamName, Moment>()
   private readonly yieldsUntil = new Map<TeamName, Moment>()
 
   constructor(
@@ -108,20 +107,7 @@
 
   /** A task of the team was placed: this part uses its share. */
   started(team: TeamName): void {
-    this.startableSince.delete(team)
-  }
-  /**
-   * Has this part had quota for a task for long, and started none? A part that has only just
-   * got it must have the time to start something, whoever else asks for it.
-   */
-  private isHeldInVain(team: TeamName, unused: Amount, smallestTask: Amount | null): boolean {
-    if (smallestTask === null || !holds(unused, smallestTask)) {
-      this.startableSince.delete(team)
-      return false
-    }
-    const since = this.startableSince.get(team) ?? this.now()
-    this.startableSince.set(team, since)
-    return this.now() - since > UNUSED_MS
+    this.lastStart.set(team, this.now())
   }
   /** Does this part leave the team's quota to others for now? */
   yields(team: TeamName): boolean {
@@ -136,7 +122,6 @@
       const { used, smallestTask, asked, ...rest } = need(team.name)
       const wanted = this.yields(team.name) ? used : rest.wanted
       const share = this.share(team.name)
-      const heldInVain = this.isHeldInVain(team.name, minus(share, used), smallestTask)
       const shares = this.mirror.get<QuotaRecord>(keys.quota(team.name))?.v.shares ?? {}
       let free: Amount = { cpus: team.cpus_max, gpus: team.gpus_max }
       for (const s of Object.values(shares)) free = { cpus: free.cpus - s.cpus, gpus: free.gpus - s.gpus }
@@ -150,7 +135,9 @@
           this.idleSince.delete(team.name)
           // Guards against a part that goes first by its rank and takes the quota back again and
           // again for tasks that none of its machines fits, while others wait for ever.
-          if (heldInVain) this.yieldsUntil.set(team.name, later(this.now(), YIELD_MS))
+          const startedNothing = (this.lastStart.get(team.name) ?? NEVER) < since
+          if (startedNothing && smallestTask !== null && holds(minus(share, used), smallestTask))
+            this.yieldsUntil.set(team.name, later(this.now(), YIELD_MS))
           changes.push(this.write(team.name, least(share, used), share))
           continue
         }
@@ -168,11 +155,13 @@
         cpus: share.cpus + Math.max(0, Math.min(free.cpus, target.cpus - share.cpus)),
         gpus: share.gpus + Math.max(0, Math.min(free.gpus, target.gpus - share.gpus)),
       }
-      // A sliver of the limit isn't worth a transaction, unless it is what lets a task start. And what
-      // lets none of ours start is left to the others: a smaller task of theirs may wait for it.
+      // A sliver of the limit isn't worth a transaction, unless it is what lets a task start.
       const gained = grown.cpus - share.cpus + (grown.gpus - share.gpus) > WORTH_A_WRITE
-      const startsOne = smallestTask !== null && holds(minus(grown, used), smallestTask)
-      const worth = startsOne && (gained || !holds(minus(share, used), smallestTask))
+      const startsOne =
+        smallestTask !== null &&
+        holds(minus(grown, used), smallestTask) &&
+        !holds(minus(share, used), smallestTask)
+      const worth = gained || startsOne
       if (short && worth) {
         this.surplusSince.delete(team.name)
         changes.push(this.write(team.name, grown, share))
--- a/packages/controller/test/draining.test.ts
+++ b/packages/controller/test/draining.test.ts
@@ -58,3 +58,11 @@
   assert.deepEqual(drained(draining.apply(later.slice(0, 1), [need("part-1", 1)], 8, true)), ["i-1"])
   assert.deepEqual(drained(draining.apply(later, [], 8, true)), [])
 })
+
+test("a machine that was emptied goes to the part for which it was", () => {
+  const draining = new Draining()
+  const starved = [need("part-1", STARVED_RANK)]
+  assert.deepEqual([...draining.emptied(draining.apply([machine("i-1", 1)], starved, 0, true))], [])
+  const empty = draining.apply([machine("i-1", 0)], starved, 0, true)
+  assert.deepEqual([...draining.emptied(empty)], [{ machine: "i-1", to: "part-1" }])
+})
