--- a/scenarios/hand-over-late.sexp
+++ b/scenarios/hand-over-late.sexp
@@ -1,5 +1,5 @@
 (scenario "releases and take-overs are carried out seconds late, after newer ones, while controllers hand over and back"
-  (seeds 313 315 321) (until 420) (capacity 16) (team-limit 96)
+  (seeds 317 318 319 325) (until 420) (capacity 16) (team-limit 96)
   (at 1 (stream 12 30 pieces 4 cores 2 run 60) (stream 6 30 pieces 4 cores 2 run 60 due 300 owner blue))
   (at 25 (cancel-at-hand-overs 1 150))
   (at 30 (crash host-1 3)) (at 47 (late-transactions 1 10)) (at 80 (crash host-2 0.4)) (at 94 (late-transactions 0.7 30)) (at 100 (crash host-1 0.3))
