npm run measure: processor time and memory of real controller processes, by concern

Five daemons as deploy/service.toml runs them, on loopback, with the test kit's stand-ins of state service, cloud, workers and users in real time. Prints use by node and phase (cold start, filling, steady, leader lost, all lost), traffic by kind, and profiles summed up by module.

--- /dev/null
+++ b/packages/testkit/src/measure.ts
@@ -0,0 +1,319 @@
+/**
+ * Measures what a deployment of real controller processes uses: `npm run measure`. The stand-ins of the
+ * state service, the cloud, the workers and the users run in this process, in real time, on loopback.
+ *
+ *     node target/measure.js FOLDER [--seconds N] [--filling] [--allocation] [--quick] [--scale N]
+ *
+ * `--filling` profiles the filling of an empty deployment too, `--allocation` adds a profile of allocated
+ * bytes, and `--quick` leaves out the loss of the leader and of all controllers.
+ *
+ * Prints processor time and memory by node in each phase, what was asked of the nodes meanwhile, and for a
+ * profiled phase the share of each concern. The profiles stay in FOLDER, to be opened in a browser's tools.
+ */
+import { mkdirSync, readFileSync } from "node:fs"
+import { parseArgs } from "node:util"
+import { teamFrom } from "@sorreltally/settings"
+import type { JobId, JobRequest, MachineType, NodeName, TeamName } from "@sorreltally/wire"
+import { Cloud } from "./cloud.ts"
+import { LoopbackNet } from "./loopback-net.ts"
+import { freePort, MeasuredController, runFlags } from "./measured-controllers.ts"
+import type { Usage } from "./probe.ts"
+import {
+  allocationShares,
+  inclusiveByFunction,
+  largest,
+  modulesOfBundle,
+  processorByFunction,
+  processorShares,
+  type Shares,
+} from "./profile-summary.ts"
+import { Rules } from "./rules.ts"
+import { Sim } from "./sim.ts"
+import { StateService } from "./state.ts"
+import { Users } from "./users.ts"
+
+const NODES = 5
+const ZONES = ["a", "b", "c"]
+const TURN_MS = 2
+const TIMES = { report_s: 5, lease_s: 27, cancel_s: 47 }
+/** The load at scale 1: some thousand machines, most of them busy. */
+const URGENT = { perMinute: 40, pieces: 35, cores: 4, run: 20 }
+const BULK = { perMinute: 6, pieces: 60, cores: 8, run: 80 }
+const FILL_S = 45
+const TAKE_OVER_S = 12
+const ROWS = 70
+
+const { values, positionals } = parseArgs({
+  allowPositionals: true,
+  options: {
+    seconds: { type: "string", default: "30" },
+    scale: { type: "string", default: "1" },
+    allocation: { type: "boolean", default: false },
+    filling: { type: "boolean", default: false },
+    quick: { type: "boolean", default: false },
+  },
+})
+const folder = positionals[0] ?? "target/measure"
+const seconds = Number(values.seconds)
+const scale = Number(values.scale)
+mkdirSync(folder, { recursive: true })
+
+const machineType = (name: string, cores: number, hourly: number): MachineType =>
+  ({
+    name,
+    cores,
+    accelerators: 0,
+    mem_gb: cores * 4,
+    cache_gb: 60,
+    pull_gb_per_s: 1,
+    hourly,
+    spot_price: hourly / 5,
+    startup_s: 6,
+    sites: ZONES,
+  }) as unknown as MachineType
+const types = [machineType("small", 8, 0.6), machineType("large", 32, 3)]
+const teams = ["red", "blue"].map((name) =>
+  teamFrom({ name: name as TeamName, cpus: 5_000 * scale, cpus_max: 25_000 * scale }),
+)
+const limits = { rps: 150, write_rps: 15, value_kb: 8, txn_ops: 8 }
+
+const sim = new Sim(1)
+const net = new LoopbackNet(sim)
+const rules = new Rules(sim, teams as never, types, TIMES.cancel_s)
+const names = Array.from({ length: NODES }, (_, i) => `host-${i}` as NodeName)
+new StateService(sim, net, limits)
+const cloud = new Cloud(sim, net, rules, {
+  types,
+  capacity: 300 * scale,
+  lagMs: 3_000,
+  nodes: names,
+  times: TIMES,
+  neverBoots: 0,
+  bootWithinMs: null,
+})
+const users = new Users(sim, net, rules.users, names)
+
+const began = performance.now()
+setInterval(() => sim.runUntil(performance.now() - began), TURN_MS)
+const pause = (ms: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, ms))
+
+const makeControllers = async (): Promise<ReadonlyArray<MeasuredController>> => {
+  const flags = runFlags("deploy/service.toml")
+  const ports: Array<readonly [number, number]> = []
+  for (const name of names) {
+    ports.push([await freePort(), await freePort()])
+    net.locate(name, ports.at(-1)![0])
+  }
+  const address = (port: number) => `127.0.0.1:${port}`
+  return names.map((name, i) => {
+    const [listen, back] = ports[i]!
+    const settings = {
+      node_name: name,
+      area: ZONES[i % ZONES.length],
+      listen: address(listen),
+      back: address(back),
+      peers: names.flatMap((peer, j) =>
+        j === i ? [] : [{ node_name: peer, area: ZONES[j % ZONES.length], peer_addr: address(ports[j]![1]) }],
+      ),
+      outside: { cloud: address(net.portOf("cloud")), state: address(net.portOf("state")) },
+      facts: {
+        nodes: NODES,
+        zones: ZONES,
+        teams,
+        objectives: [{ kind: "wait", class: "bulk", within_s: 70, share: 0.9 }],
+        workers: { ...TIMES, gang_wait_s: 40, gang_peer_s: 6 },
+        state: limits,
+        cloud: { rps: 6, list_lag_s: 3 },
+        machine_limits: { cores: 0.1, mem_mb: 204, fd_limit: 2_500 },
+        time_bound_ms: 1_000,
+      },
+    }
+    return new MeasuredController(name, listen, settings, folder, flags)
+  })
+}
+
+let jobs = 0
+const submit = (kind: typeof URGENT, urgent: boolean): void => {
+  const id = `run-${String(++jobs).padStart(6, "0")}` as JobId
+  users.submit({
+    id,
+    lane: urgent ? "urgent" : "bulk",
+    owner: urgent ? "blue" : "red",
+    shape: "batch",
+    urgency: urgent ? "high" : "standard",
+    pieces: kind.pieces,
+    cores: kind.cores,
+    accelerators: 0,
+    mem_gb: kind.cores,
+    bundle: `img-${jobs % 12}`,
+    image_gb: 1,
+    builds: null,
+    site: null,
+    together: false,
+    scatter: false,
+    loaners: true,
+    expected_s: kind.run,
+    snapshot_s: 0,
+    flush_s: 0,
+    due_s: urgent ? 3 * kind.run + 15 : null,
+  } as unknown as JobRequest)
+}
+const keepSubmitting = (kind: typeof URGENT, urgent: boolean): void => {
+  submit(kind, urgent)
+  sim.after(60_000 / (kind.perMinute * scale), () => keepSubmitting(kind, urgent))
+}
+
+const say = (line = ""): void => console.log(line)
+const seconds1 = (ms: number): string => (ms / 1000).toFixed(2)
+const megabytes = (bytes: number): string => (bytes / 1e6).toFixed(0)
+const usages = (nodes: ReadonlyArray<MeasuredController>): Promise<ReadonlyArray<Usage>> =>
+  Promise.all(nodes.map((node) => node.ask({ kind: "usage" })))
+
+const tell = (
+  nodes: ReadonlyArray<MeasuredController>,
+  before: ReadonlyArray<Usage>,
+  after: ReadonlyArray<Usage>,
+  tookMs: number,
+): void => {
+  for (const [i, node] of nodes.entries()) {
+    const [was, is] = [before[i]!, after[i]!]
+    const used = is.processorMs - was.processorMs
+    say(
+      `  ${node.name}: ${seconds1(used)} s of processor time, ${(used / tookMs).toFixed(3)} of a core; ` +
+        `collections ${is.collections - was.collections}, ${seconds1(is.collectionMs - was.collectionMs)} s; ` +
+        `heap ${megabytes(is.heapUsed)} of ${megabytes(is.heapTotal)} MB, resident ${megabytes(is.resident)} MB`,
+    )
+  }
+  const sum = after.reduce((all, is, i) => all + is.processorMs - before[i]!.processorMs, 0)
+  say(`  all: ${(sum / tookMs).toFixed(3)} of a core`)
+}
+const tellTraffic = (tookMs: number): void => {
+  for (const [kind, { requests, bytes, answeredBytes }] of net.traffic)
+    say(
+      `  ${kind}: ${((requests * 1000) / tookMs).toFixed(1)} a second, ` +
+        `${Math.round(bytes / requests)} bytes, answered with ${Math.round(answeredBytes / requests)}`,
+    )
+  net.traffic.clear()
+}
+const bundled = modulesOfBundle(readFileSync("target/main.js", "utf8"))
+const tellShares = (shares: Shares, unit: string): void => {
+  let all = 0
+  for (const [name, amount] of shares) if (name !== "idle") all += amount
+  for (const [name, amount] of largest(shares, ROWS))
+    if (name !== "idle")
+      say(
+        `    ${amount.toFixed(1).padStart(9)} ${unit} ${((100 * amount) / all).toFixed(1).padStart(5)}%  ${name}`,
+      )
+}
+const beginProfiles = (
+  nodes: ReadonlyArray<MeasuredController>,
+  of: "processor" | "allocation",
+): Promise<unknown> => Promise.all(nodes.map((node) => node.ask({ kind: "profile", of })))
+
+/** Ends the nodes' profiles, and tells those of some of them. */
+const finishProfiles = async (
+  name: string,
+  nodes: ReadonlyArray<MeasuredController>,
+  of: "processor" | "allocation",
+  told: ReadonlyArray<MeasuredController>,
+): Promise<void> => {
+  for (const node of nodes) {
+    const file = `${folder}/${name}-${node.name}.${of === "processor" ? "cpuprofile" : "heapprofile"}`
+    await node.ask({ kind: "finish", file })
+    if (told.includes(node)) tellProfile(`${name}, ${node.name}, ${of}`, readFileSync(file, "utf8"), of)
+  }
+}
+const tellProfile = (name: string, text: string, of: "processor" | "allocation"): void => {
+  say(`  ${name}:`)
+  const profile = JSON.parse(text)
+  if (of === "allocation") {
+    const bytes = allocationShares(profile, bundled)
+    return tellShares(new Map([...bytes].map(([what, size]) => [what, size / 1024])), "KiB")
+  }
+  tellShares(processorShares(profile, bundled), "ms")
+  say("   by function:")
+  tellShares(processorByFunction(profile, bundled), "ms")
+  say("   by function with all it calls:")
+  tellShares(inclusiveByFunction(profile, bundled), "ms")
+}
+const profiled = async (
+  name: string,
+  nodes: ReadonlyArray<MeasuredController>,
+  of: "processor" | "allocation",
+  ms: number,
+): Promise<void> => {
+  await beginProfiles(nodes, of)
+  await pause(ms)
+  await finishProfiles(name, nodes, of, nodes)
+}
+
+const phase = async (
+  name: string,
+  nodes: ReadonlyArray<MeasuredController>,
+  work: () => Promise<unknown>,
+): Promise<void> => {
+  const before = await usages(nodes)
+  const at = performance.now()
+  net.traffic.clear()
+  await work()
+  const tookMs = performance.now() - at
+  say(`${name}, ${seconds1(tookMs)} s, ${cloud.machines.size} machines, ${users.jobs.length} jobs:`)
+  tell(nodes, before, await usages(nodes), tookMs)
+  tellTraffic(tookMs)
+}
+const startAll = async (name: string, nodes: ReadonlyArray<MeasuredController>): Promise<void> => {
+  const at = performance.now()
+  for (const node of nodes) node.start()
+  const spent = await Promise.all(
+    nodes.map(async (node) => {
+      await node.untilReady()
+      const { processorMs, resident } = await node.ask({ kind: "usage" })
+      return { processorMs, resident, afterMs: performance.now() - at }
+    }),
+  )
+  say(`${name}: from start to /ready`)
+  for (const [i, { processorMs, resident, afterMs }] of spent.entries())
+    say(
+      `  ${names[i]}: after ${seconds1(afterMs)} s, ${seconds1(processorMs)} s of processor time, ` +
+        `${megabytes(resident)} MB resident`,
+    )
+}
+
+const leaderOf = async (nodes: ReadonlyArray<MeasuredController>): Promise<number> => {
+  const used = await usages(nodes)
+  return used.reduce((most, is, i) => (is.processorMs > used[most]!.processorMs ? i : most), 0)
+}
+
+const main = async (): Promise<void> => {
+  await pause(100)
+  const nodes = await makeControllers()
+  process.on("SIGINT", () => void Promise.all(nodes.map((node) => node.end())).then(() => process.exit(130)))
+  await startAll("cold start", nodes)
+  keepSubmitting(URGENT, true)
+  keepSubmitting(BULK, false)
+  for (let i = 0; i < 10 * scale; i++) submit(BULK, false)
+  for (let i = 0; i < 30 * scale; i++) submit(URGENT, true)
+  if (values.filling) await beginProfiles(nodes, "processor")
+  await phase("filling", nodes, () => pause(1000 * FILL_S))
+  const leader = await leaderOf(nodes)
+  const other = (leader + 1) % NODES
+  const looked = [nodes[leader]!, nodes[other]!]
+  say(`the leader is ${nodes[leader]!.name}`)
+  if (values.filling) await finishProfiles("filling", nodes, "processor", looked)
+  await phase("steady", nodes, () => pause(1000 * seconds))
+  await profiled("steady", looked, "processor", 1000 * seconds)
+  if (values.allocation) await profiled("steady", looked, "allocation", 1000 * seconds)
+  if (!values.quick) {
+    await nodes[leader]!.end()
+    const left = nodes.filter((_, i) => i !== leader)
+    await phase("leader lost", left, () => pause(1000 * TAKE_OVER_S))
+    for (const node of left) await node.end()
+    await pause(4_000)
+    await startAll("all lost", nodes)
+    await phase("after the loss of all", nodes, () => pause(1000 * TAKE_OVER_S))
+  }
+  for (const node of nodes) await node.end()
+  net.closeAll()
+  process.exit(0)
+}
+await main()
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -19,8 +19,17 @@
     js: 'import { createRequire as __cr } from "node:module"; const require = __cr(import.meta.url);',
   },
 }
-if (!process.argv.includes("--tests")) {
-  await build({ ...common, entryPoints: ["packages/daemon/src/main.ts"], outfile: "target/main.js" })
+const daemon = { ...common, entryPoints: ["packages/daemon/src/main.ts"], outfile: "target/main.js" }
+if (process.argv.includes("--measure")) {
+  await build(daemon)
+  for (const program of ["measure", "probe"])
+    await build({
+      ...common,
+      entryPoints: [`packages/testkit/src/${program}.ts`],
+      outfile: `target/${program}.js`,
+    })
+} else if (!process.argv.includes("--tests")) {
+  await build(daemon)
 } else {
   const tests = readdirSync(`${root}packages`).flatMap((p) => {
     try {
