--- a/packages/api/src/users.ts
+++ b/packages/api/src/users.ts
@@ -2,6 +2,7 @@
 import type { Operators, Platform } from "@sorreltally/settings"
 import type { JobRecord, StateTrouble } from "@sorreltally/state"
 import {
+  type Answer,
   decodeJobRequest,
   decodeReport,
   type Incoming,
@@ -38,12 +39,14 @@
   readonly catalog: () => ReadonlyMap<TypeName, MachineType> | null
   readonly jobs: JobTable
   readonly counts: (id: JobId) => { readonly done: number; readonly running: number }
-  readonly report: (body: Report) => Effect.Effect<Outgoing>
+  readonly report: (body: Report, answer: Answer) => void
 }
 
 /** Users wait 5 s for a submission and 2 s for a poll; a final "no" in time is worth more than silence. */
 const SUBMIT_MS = 3_500
 const POLL_MS = 1_500
+/** Where workers report. */
+export const REPORT_PATH = "/v1/report"
 const isJobId = Schema.is(JobIdSchema)
 
 /** The HTTP interface for users, workers and health checks, apart from the sockets. */
@@ -63,7 +66,7 @@
   handle(request: Incoming): Effect.Effect<Outgoing> {
     const path = request.path.split("?")[0] ?? request.path
     if (path === "/ready") return this.only("GET", request, () => Effect.succeed(this.ready()))
-    if (path === "/v1/report") return this.only("POST", request, () => this.report(request))
+    if (path === REPORT_PATH) return this.only("POST", request, () => this.reported(request.body))
     if (path === "/v1/jobs")
       return this.only("POST", request, () => this.admitted(this.submit(request), SUBMIT_MS))
     const job = /^\/v1\/jobs\/([^/]+)(\/cancel)?$/.exec(path)
@@ -88,12 +91,16 @@
     return this.desk.ready() ? { status: 200, body: {} } : { status: 503, body: {} }
   }
 
-  private report(request: Incoming): Effect.Effect<Outgoing> {
-    const body = parse(request.body)
-    const report = decodeReport(body)
-    if (Result.isFailure(report))
-      return Effect.succeed({ status: 400, body: { error: report.failure.message } })
-    return this.desk.report(report.success)
+  private reported(body: string): Effect.Effect<Outgoing> {
+    return Effect.callback<Outgoing>((resume) =>
+      this.report(body, (outgoing) => resume(Effect.succeed(outgoing))),
+    )
+  }
+  /** Answers a worker's report. No fiber is made for it: reports are by far the most of a node's requests. */
+  report(body: string, answer: Answer): void {
+    const report = decodeReport(parse(body))
+    if (Result.isFailure(report)) answer({ status: 400, body: { error: report.failure.message } })
+    else this.desk.report(report.success, answer)
   }
 
   private later(status: 429 | 503, error: string): Outgoing {
--- a/packages/api/test/users.test.ts
+++ b/packages/api/test/users.test.ts
@@ -2,7 +2,7 @@
 import { test } from "node:test"
 import { defaultOperators, type Platform } from "@sorreltally/settings"
 import { type JobRecord, StateTrouble } from "@sorreltally/state"
-import type { MachineType, Moment, Outgoing, TypeName, WallTime } from "@sorreltally/wire"
+import type { Answer, MachineType, Moment, Outgoing, TypeName, WallTime } from "@sorreltally/wire"
 import { Effect } from "effect"
 import { Limiter } from "../src/limiter.ts"
 import { Api, type JobTable } from "../src/users.ts"
@@ -71,7 +71,7 @@
     catalog: () => (options.catalog === false ? null : new Map([["g8" as TypeName, type]])),
     jobs,
     counts: () => ({ done: 1, running: 2 }),
-    report: () => Effect.succeed({ status: 200, body: {} }),
+    report: (_: unknown, answer: Answer) => answer({ status: 200, body: {} }),
   }
   const time = { moment: () => performance.now() as Moment, wall: () => Date.now() as WallTime }
   const api = new Api(platform, defaultOperators(), desk, time)
--- a/packages/controller/src/controller.ts
+++ b/packages/controller/src/controller.ts
@@ -5,6 +5,7 @@
 import { cancellationBudget, type Operators, type Platform, sizesOf } from "@sorreltally/settings"
 import type { Entry, StateClient } from "@sorreltally/state"
 import {
+  type Answer,
   Exchange,
   type HireName,
   type JobId,
@@ -17,6 +18,10 @@
   type NodeName,
   type Outgoing,
   type PartName,
+  type Redirect,
+  type RelayedAnswers,
+  type RelayedReports,
+  type RepeatedReport,
   type Report,
   type Stamp,
   type Timekeeper,
@@ -35,8 +40,10 @@
 import { JobBook } from "./job-book.ts"
 import { JobProgress, type ProgressMessage, type TaskCounts } from "./job-progress.ts"
 import { JobTable } from "./job-table.ts"
+import { type NodeLoad, NodeLoads } from "./node-loads.ts"
 import { PartWants, type ToldWants } from "./part-wants.ts"
-import { type Load, Relays } from "./relays.ts"
+import { Relays } from "./relays.ts"
+import { ReportSharing } from "./report-sharing.ts"
 import { Signal } from "./signal.ts"
 
 const WANTS_EVERY_MS = 200
@@ -46,6 +53,16 @@
 const LISTS_ITSELF_MS = 12_000
 
 type Introductions = ReadonlyArray<readonly [MachineId, Introduction]>
+/** Machines that changed hands, and the record that says so. */
+interface ToldMachines {
+  readonly part: PartName
+  readonly block: Entry
+  readonly machines: Introductions
+}
+/** The cloud's list, as the leader hands it on. */
+type ToldList = ReadonlyArray<readonly [MachineId, string, ZoneName]>
+const LATER: Outgoing = { status: 503, body: {} }
+
 /** One controller: its parts' engines, and what they share. */
 export class Controller {
   readonly membership: Membership
@@ -60,6 +77,8 @@
     { readonly engine: PartEngine; readonly fiber: Fiber.Fiber<unknown> }
   >()
   private readonly relays: Relays
+  private readonly loads: NodeLoads
+  private readonly sharing: ReportSharing
   private readonly estimates = new Estimates()
   private readonly commands: InFlight
   private readonly wants: PartWants
@@ -99,8 +118,15 @@
       fork,
     )
     this.book = new FleetBook(this.membership.mirror)
-    const { time_bound_ms } = platform.facts
-    this.relays = new Relays(peers, time, time_bound_ms, () => this.well(), state, fork)
+    const { time_bound_ms, machine_limits, workers } = platform.facts
+    this.relays = new Relays(peers, time, time_bound_ms, fork)
+    this.loads = new NodeLoads(peers, time, state, () => this.load())
+    this.sharing = new ReportSharing(time, machine_limits.cores, workers.report_s, () => this.loads.takers())
+    this.book.listen((id, entry) => {
+      if (entry !== null) return
+      this.relays.forget(id)
+      this.sharing.forget(id)
+    })
     this.wants = new PartWants(time)
     this.progress = new JobProgress(peers, () => this.ownCounts())
     this.jobBook = new JobBook(this.membership.mirror)
@@ -132,8 +158,8 @@
         this.fleet.run,
         this.tellWants(),
         this.progress.tellOthers,
-        this.peers.serve((kind, body, from) => this.answerPeer(kind, body, from)),
-        this.relays.run,
+        this.peers.serve((kind, body, from) => this.receive(kind, body, from)),
+        this.loads.run,
       ],
       { concurrency: "unbounded", discard: true },
     ),
@@ -196,8 +222,8 @@
   }
   private shareList(list: ReadonlyArray<ListedMachine>): void {
     if (!this.engines.has(DEADLINE)) return
-    const told = list.map((m) => [m.id, m.status, m.site] as const)
-    this.fork(this.peers.tell("list", told))
+    const told: ToldList = list.map((m) => [m.id, m.status, m.site])
+    this.peers.tell("list", told)
   }
 
   // --- between the parts ------------------------------------------------------
@@ -219,7 +245,7 @@
         // Whoever has no machines can lend none, and quota is asked for only when it lacks.
         const mine = own.reduce((sum, { part }) => sum + this.book.size(part), 0)
         if (mine === this.book.total && own.every(({ wants }) => wants.quotas.length === 0)) continue
-        yield* this.peers.tell("wants", own)
+        this.peers.tell("wants", own)
       }
     })
   }
@@ -229,10 +255,11 @@
     if (own !== undefined) return own.engine.introduced(id, by)
     const owner = this.membership.owner(part)
     const block = this.book.get(id)?.block
-    const entry = block === undefined ? null : this.membership.mirror.get(block)
-    if (owner === null || entry === null) return
-    const told = { part, block: { path: block, ...entry }, machines: [[id, by]] satisfies Introductions }
-    this.fork(this.peers.tell("machines", told, owner))
+    if (owner === null || block === undefined) return
+    const entry = this.membership.mirror.get(block)
+    if (entry === null) return
+    const told: ToldMachines = { part, block: { path: block, ...entry }, machines: [[id, by]] }
+    this.peers.tell("machines", told, owner)
   }
 
   private *ownCounts(): Iterable<TaskCounts> {
@@ -241,16 +268,37 @@
 
   // --- workers --------------------------------------------------------------
 
-  report(body: Report): Effect.Effect<Outgoing> {
-    return Effect.suspend((): Effect.Effect<Outgoing> => {
-      const part = this.partOfMachine(body.host)
-      const own = this.engines.get(part)
-      const { node_name } = this.platform
-      const owner = own === undefined ? this.membership.owner(part) : node_name
-      if (owner === null || (owner === node_name && (own === undefined || !this.membership.entitled())))
-        return Effect.succeed({ status: 503, body: {} })
-      return own !== undefined ? own.engine.reportInTime(body) : this.relays.passOn(body, owner)
-    })
+  /** Answers a worker that reports to this node, at once or as soon as there is something to say. */
+  report(body: Report, answer: Answer): void {
+    this.sharing.came()
+    const part = this.partOfMachine(body.host)
+    const own = this.engines.get(part)
+    const { node_name } = this.platform
+    const owner = own === undefined ? this.membership.owner(part) : node_name
+    if (owner === null || (owner === node_name && (own === undefined || !this.membership.entitled())))
+      return answer(LATER)
+    const elsewhere = this.reportsElsewhere(body, owner)
+    if (elsewhere !== null) return answer({ status: 421, body: { steward: elsewhere } satisfies Redirect })
+    if (own !== undefined) return own.engine.report(body, answer)
+    // An owner that no node reaches may still be reached by its workers.
+    if (!this.loads.sharesReports(owner) || !this.peers.reaches(owner))
+      return this.relays.passOn(body, owner, answer)
+    this.relays.relay(body, owner, answer)
+  }
+  /** The node that this worker should report to instead, where an owner shares its workers' reports. */
+  private reportsElsewhere({ host }: Report, owner: NodeName): NodeName | null {
+    if (owner === this.platform.node_name) return this.sharing.elsewhere(host)
+    return this.loads.sharesReports(owner) ? this.sharing.evener(host) : null
+  }
+  private load(): NodeLoad {
+    let machines = 0
+    for (const { engine } of this.engines.values()) machines += engine.machines.size
+    return {
+      well: this.well(),
+      changes: this.state.usage(),
+      reports: this.sharing.reportsPerSecond,
+      sharesReports: this.sharing.owns(machines),
+    }
   }
 
   /** A machine that nobody has on record is the leader's to adopt. */
@@ -258,44 +306,42 @@
     return this.book.get(machine)?.part ?? DEADLINE
   }
 
-  private answerPeer(kind: string, body: unknown, from: NodeName): Effect.Effect<unknown> {
-    if (kind === "reports") {
-      const answer = (report: Report): Outgoing =>
-        this.engines.get(this.partOfMachine(report.host))?.engine.report(report) ?? {
-          status: 503,
-          body: {},
-        }
-      return Effect.sync(() => this.relays.relayed(body as Parameters<Relays["relayed"]>[0], answer))
-    }
-    if (kind === "list") {
-      const told = body as ReadonlyArray<readonly [MachineId, string, ZoneName]>
-      // It was asked for a moment ago; as the list itself lags by seconds, that is near enough.
-      const list = told.map(([id, status, site]) => ({ id, status, site }))
-      return Effect.sync(() => this.fleet.take(list, this.time.moment()))
-    }
-    if (kind === "load") return Effect.sync(() => this.relays.told(from, body as Load))
-    if (kind === "job") {
-      this.membership.mirror.hint(body as Entry)
-      return Effect.succeed(true)
-    }
-    if (kind === "wants") {
-      for (const { part, wants } of body as ReadonlyArray<ToldWants>)
-        if (!this.engines.has(part)) this.wants.set(part, wants)
-      for (const { engine } of this.engines.values()) engine.wake()
-      return Effect.succeed(true)
-    }
-    if (kind === "machines") {
-      const told = body as { part: PartName; block: Entry; machines: Introductions }
-      this.membership.mirror.hint(told.block)
-      const own = this.engines.get(told.part)
-      for (const [id, by] of told.machines) own?.engine.introduced(id, by)
-      return Effect.succeed(true)
-    }
-    if (kind === "counts") {
-      this.progress.received(body as ProgressMessage)
-      return Effect.succeed(true)
+  /** Takes in what another node tells. */
+  private receive(kind: string, body: unknown, from: NodeName): void {
+    if (kind === "reports") return this.takeReports(from, body as RelayedReports)
+    if (kind === "answers") return this.relays.receivedAnswers(body as RelayedAnswers)
+    if (kind === "list") return this.takeList(body as ToldList)
+    if (kind === "load") return this.loads.received(from, body as NodeLoad)
+    if (kind === "job") return this.membership.mirror.hint(body as Entry)
+    if (kind === "wants") return this.takeWants(body as ReadonlyArray<ToldWants>)
+    if (kind === "machines") return this.takeMachines(body as ToldMachines)
+    if (kind === "counts") return this.progress.received(body as ProgressMessage)
+  }
+  private takeReports(from: NodeName, letter: RelayedReports): void {
+    const engineOf = (machine: MachineId) => this.engines.get(this.partOfMachine(machine))?.engine
+    const take = (report: Report, answer: Answer) => {
+      const engine = engineOf(report.host)
+      if (engine === undefined) answer(LATER)
+      else engine.report(report, answer)
     }
-    return Effect.succeed(null)
+    const whole = (repeat: RepeatedReport) => engineOf(repeat.host)?.repeated(repeat) ?? null
+    this.relays.receivedReports(from, letter, take, whole)
+  }
+  private takeList(told: ToldList): void {
+    // It was asked for a moment ago; as the list itself lags by seconds, that is near enough.
+    this.fleet.take(
+      told.map(([id, status, site]) => ({ id, status, site })),
+      this.time.moment(),
+    )
+  }
+  private takeWants(told: ReadonlyArray<ToldWants>): void {
+    for (const { part, wants } of told) if (!this.engines.has(part)) this.wants.set(part, wants)
+    for (const { engine } of this.engines.values()) engine.wake()
+  }
+  private takeMachines({ part, block, machines }: ToldMachines): void {
+    this.membership.mirror.hint(block)
+    const own = this.engines.get(part)
+    for (const [id, by] of machines) own?.engine.introduced(id, by)
   }
 
   // --- is this node of use? -------------------------------------------------------
@@ -305,7 +351,7 @@
   }
   /** Can other nodes act? Null: none of them is heard. */
   othersWell(): boolean | null {
-    return this.relays.othersWell()
+    return this.loads.othersWell()
   }
 
   // --- what the users' side needs --------------------------------------------
@@ -316,11 +362,10 @@
 
   /** A job was accepted or cancelled: its owner should know before the watch tells it. */
   private jobChanged(entry: Entry, request: JobRequest): Effect.Effect<void> {
-    return Effect.suspend(() => {
+    return Effect.sync(() => {
       this.membership.mirror.hint(entry)
       const owner = this.membership.owner(this.partOfJob(request))
-      if (owner === null || owner === this.platform.node_name) return Effect.void
-      return this.peers.tell("job", entry, owner)
+      if (owner !== null && owner !== this.platform.node_name) this.peers.tell("job", entry, owner)
     })
   }
   private partOfJob({ id, due_s }: JobRequest): PartName {
--- a/packages/controller/src/engine.ts
+++ b/packages/controller/src/engine.ts
@@ -1,13 +1,14 @@
 import type { JobState, Placement } from "@sorreltally/jobs"
 import { type Entry, keys } from "@sorreltally/state"
 import {
+  type Answer,
   type JobId,
   later,
   type MachineId,
   type Moment,
   NEVER,
-  type Outgoing,
   type PartName,
+  type RepeatedReport,
   type Report,
   type Stamp,
 } from "@sorreltally/wire"
@@ -216,11 +217,12 @@
 
   // --- workers --------------------------------------------------------------
 
-  report(body: Report): Outgoing {
-    return this.workers.report(body)
+  report(body: Report, answer: Answer): void {
+    this.workers.report(body, answer)
   }
-  reportInTime(body: Report): Effect.Effect<Outgoing> {
-    return this.workers.reportInTime(body)
+  /** The whole of a report that repeats the last word of its machine; null: that was another one. */
+  repeated(repeat: RepeatedReport): Report | null {
+    return this.machines.get(repeat.host)?.repeated(repeat) ?? null
   }
 
   // --- what became durable ----------------------------------------------------
--- a/packages/controller/src/held.ts
+++ b/packages/controller/src/held.ts
@@ -1,6 +1,5 @@
-import { later, type Moment, type Outgoing } from "@sorreltally/wire"
+import { type Answer, later, type Moment, type Outgoing } from "@sorreltally/wire"
 import type { WorkerSession } from "@sorreltally/workers"
-import { Effect } from "effect"
 
 /** A report is answered after this long whatever it waits for: its worker waits 4 s. */
 const MOST_HELD_MS = 700
@@ -11,10 +10,7 @@
  * first one up.
  */
 export class HeldReports {
-  private readonly held = new Map<
-    WorkerSession,
-    { readonly since: Moment; readonly done: (answer: Outgoing) => void }
-  >()
+  private readonly held = new Map<WorkerSession, { readonly since: Moment; readonly done: Answer }>()
 
   constructor(
     private readonly now: () => Moment,
@@ -25,11 +21,8 @@
   has(session: WorkerSession): boolean {
     return this.held.has(session)
   }
-  hold(session: WorkerSession): Effect.Effect<Outgoing> {
-    return Effect.callback<Outgoing>((resume) => {
-      const done = (answer: Outgoing) => resume(Effect.succeed(answer))
-      this.held.set(session, { since: this.now(), done })
-    })
+  hold(session: WorkerSession, done: Answer): void {
+    this.held.set(session, { since: this.now(), done })
   }
   answerNow(session: WorkerSession): void {
     this.letGo(session, this.answer(session))
--- a/packages/controller/src/job-progress.ts
+++ b/packages/controller/src/job-progress.ts
@@ -67,7 +67,7 @@
         const counts = this.takeNewCounts()
         const ends = this.endsToTell
         this.endsToTell = []
-        if (counts.length > 0 || ends.length > 0) yield* this.peers.tell("counts", { counts, ends })
+        if (counts.length > 0 || ends.length > 0) this.peers.tell("counts", { counts, ends })
       }),
     ),
   )
--- a/packages/controller/src/part-planning.ts
+++ b/packages/controller/src/part-planning.ts
@@ -6,6 +6,7 @@
   LimitRoom,
   type Load,
   lend,
+  lendableTo,
   type MachineView,
   type Need,
   type Plan,
@@ -14,7 +15,6 @@
   type Reserve,
   STARVED_RANK,
   type TeamRoom,
-  wouldLend,
 } from "@sorreltally/planner"
 import {
   type Attempt,
@@ -139,7 +139,7 @@
       machines = machineViews(part, now, reserve, false)
     }
     // Guards against machines that are emptied for others, never lent, and of no use to our own work.
-    const lendable = needs.filter((need) => wouldLend(need, startable, machines))
+    const lendable = lendableTo(needs, startable, machines)
     const served = needs.filter((need) => need.rank >= STARVED_RANK || lendable.includes(need))
     machines = this.draining.apply(machines, served, this.unusedCores, this.hasMostMachines())
     this.lendAll(this.draining.emptied(machines), needs)
--- a/packages/controller/src/relays.ts
+++ b/packages/controller/src/relays.ts
@@ -1,30 +1,44 @@
+/** Reports that came to another node than their machine's owner: handed on to it, and answered with its word. */
 import type { PeerChannel } from "@sorreltally/peers"
-import type { StateClient } from "@sorreltally/state"
 import {
-  decodeReport,
+  type Answer,
   later,
   type MachineId,
   type Moment,
   NEVER,
   type NodeName,
   type Outgoing,
+  PACKED_REPORT_BYTES,
+  PACKED_TASK_BYTES,
+  packRepeat,
+  packReport,
   type Redirect,
+  type RelayedAnswers,
+  type RelayedReports,
+  type RepeatedReport,
   type Report,
-  TASK_BYTES,
+  type ReportAnswer,
+  repeats,
+  SEND_WHOLE,
   type Timekeeper,
+  unpackRepeat,
+  unpackReport,
 } from "@sorreltally/wire"
-import { Effect, Result } from "effect"
+import { Effect } from "effect"
 
 /** A worker answers nobody for 4 s; what is relayed has to be back before that. */
 const RELAY_TIMEOUT_MS = 2_500
+const LOOK_EVERY_MS = 250
 /** Messages older than this are not carried out: whoever sent them has given up. */
 const TOO_OLD_MS = 4_000
 /** What comes within this time goes in one message. */
 const GATHER_MS = 20
 /** Well below the longest message between controllers, answers with a command a task included. */
 const BATCH_BYTES = 256 * 1024
-const REPORT_BYTES = 400
-const sizeOf = (report: Report): number => REPORT_BYTES + TASK_BYTES * report.pieces.length
+const sizeOf = (report: Report): number => PACKED_REPORT_BYTES + PACKED_TASK_BYTES * report.pieces.length
+/** A worker that we sent to its owner and that is back this soon could not reach it. */
+const BACK_SOON_MS = 20_000
+const RELAY_FOR_MS = 30_000
 
 /** Guards against messages that are refused as too long where machines have many tasks each. */
 export const takeBatch = <A>(items: Array<A>, bytesOf: (item: A) => number): Array<A> => {
@@ -37,152 +51,182 @@
   }
   return items.splice(0, count)
 }
-/** A worker that we sent elsewhere and that is back this soon could not reach it. */
-const BACK_SOON_MS = 20_000
-const RELAY_FOR_MS = 30_000
-const TELL_EVERY_MS = 1_000
-/** As long as nothing changes, it is told only every so many times. */
-const TELL_AGAIN = 3
-/** Changes a second that are worth telling. */
-const MUCH = 0.3
-const TOLD_LAST_MS = 5_000
-
-/** Can a node act, and how many changes a second does it make? */
-export type Load = readonly [boolean, number]
 
-interface Batch<A, B> {
-  readonly items: Array<{ readonly item: A; readonly done: (result: B | null) => void }>
-  scheduled: boolean
+/** A worker's report that waits for its owner's word. */
+interface Waiting {
+  readonly report: Report
+  readonly owner: NodeName
+  readonly until: Moment
+  readonly answer: Answer
 }
+/** The last report of a machine that its owner answered through this node. */
+interface Answered {
+  readonly report: Report
+  readonly owner: NodeName
+}
+const LATER: Outgoing = { status: 503, body: {} }
 
-/** Many small questions to one node, sent in one message. */
-class Batches<A, B> {
-  private readonly to = new Map<NodeName, Batch<A, B>>()
+/** What one node has for another, sent a moment after the first of it came. */
+class Outbox<A> {
+  private readonly items = new Map<NodeName, Array<A>>()
   constructor(
-    private readonly kind: string,
-    private readonly timeoutMs: number,
-    private readonly bytesOf: (item: A) => number,
-    private readonly peers: PeerChannel,
-    private readonly time: Timekeeper,
+    private readonly send: (to: NodeName, items: Array<A>) => void,
     private readonly fork: (effect: Effect.Effect<unknown>) => void,
   ) {}
 
-  /** Null: no answer. */
-  ask(node: NodeName, item: A): Effect.Effect<B | null> {
-    return Effect.callback<B | null>((resume) => {
-      let batch = this.to.get(node)
-      if (batch === undefined) {
-        batch = { items: [], scheduled: false }
-        this.to.set(node, batch)
-      }
-      batch.items.push({ item, done: (result) => resume(Effect.succeed(result)) })
-      if (batch.scheduled) return
-      batch.scheduled = true
-      this.fork(this.send(node, batch))
-    })
-  }
-  private send(node: NodeName, batch: Batch<A, B>) {
-    return Effect.gen({ self: this }, function* () {
-      yield* Effect.sleep(GATHER_MS)
-      batch.scheduled = false
-      while (batch.items.length > 0) {
-        const items = takeBatch(batch.items, ({ item }) => this.bytesOf(item))
-        this.fork(this.askAll(node, items))
-      }
-    })
+  put(to: NodeName, item: A): void {
+    const before = this.items.get(to)
+    if (before !== undefined) {
+      before.push(item)
+      return
+    }
+    this.items.set(to, [item])
+    const flush = Effect.sync(() => this.flush(to))
+    this.fork(Effect.andThen(Effect.sleep(GATHER_MS), flush))
   }
-  private askAll(node: NodeName, items: Batch<A, B>["items"]) {
-    return Effect.gen({ self: this }, function* () {
-      const letter = { at: this.time.wall(), items: items.map(({ item }) => item) }
-      const answer = yield* Effect.result(this.peers.ask(node, this.kind, letter, this.timeoutMs))
-      const results = Result.isSuccess(answer) ? (answer.success as ReadonlyArray<B | null> | null) : null
-      for (const [i, { done }] of items.entries()) done(results?.[i] ?? null)
-    })
+  private flush(to: NodeName): void {
+    const items = this.items.get(to) ?? []
+    this.items.delete(to)
+    this.send(to, items)
   }
 }
 
-interface Letter<A> {
-  readonly at: number
-  readonly items: ReadonlyArray<A>
-}
 /**
- * Workers that reach this node and not their machine's owner. They are sent
- * there; those that come back soon could not reach it, and their reports are
- * handed over, many at a time. Nothing is ever answered 200 but by the owner,
- * for this very report. Besides, what the nodes tell each other of themselves.
+ * Workers that reach this node and not their machine's owner, or whose owner shares its reports among
+ * all nodes. Nothing is ever answered 200 but by the owner, for this very report.
  */
 export class Relays {
   private readonly sentAway = new Map<MachineId, Moment>()
   private readonly relayUntil = new Map<MachineId, Moment>()
-  private readonly loads = new Map<
-    NodeName,
-    { readonly well: boolean; readonly changes: number; readonly at: Moment }
-  >()
-  private readonly reports: Batches<Report, Outgoing>
-  private said: Load | null = null
-  private untold = 0
+  private readonly waiting = new Map<number, Waiting>()
+  private readonly answered = new Map<MachineId, Answered>()
+  private readonly reports: Outbox<{ readonly n: number; readonly report: Report; readonly whole: boolean }>
+  private readonly answers: Outbox<RelayedAnswers["answers"][number]>
+  /** Lives of the nodes whose reports we answer. */
+  private readonly lives = new Map<NodeName, number>()
+  private readonly life: number
+  private count = 0
+  private looking = false
 
   constructor(
     private readonly peers: PeerChannel,
     private readonly time: Timekeeper,
     private readonly clocksOffMs: number,
-    /** Can this node act, as far as it knows? */
-    private readonly well: () => boolean,
-    private readonly state: Pick<StateClient, "usage" | "othersUse">,
-    fork: (effect: Effect.Effect<unknown>) => void,
+    private readonly fork: (effect: Effect.Effect<unknown>) => void,
   ) {
-    this.reports = new Batches("reports", RELAY_TIMEOUT_MS, sizeOf, peers, time, fork)
+    this.life = Math.floor(time.wall())
+    this.reports = new Outbox((to, items) => this.sendReports(to, items), fork)
+    this.answers = new Outbox((to, answers) => {
+      const letter: RelayedAnswers = { life: this.lives.get(to) ?? 0, answers }
+      this.peers.tell("answers", letter, to)
+    }, fork)
   }
 
-  readonly run: Effect.Effect<never> = Effect.suspend(() =>
-    Effect.forever(
-      Effect.gen({ self: this }, function* () {
-        yield* Effect.sleep(TELL_EVERY_MS)
-        const [well, changes]: Load = [this.well(), this.state.usage()]
-        const { said } = this
-        const news = said === null || said[0] !== well || Math.abs(said[1] - changes) > MUCH
-        if (!news && ++this.untold < TELL_AGAIN) return
-        this.said = [well, changes]
-        this.untold = 0
-        yield* this.peers.tell("load", this.said)
-      }),
-    ),
-  )
-  told(node: NodeName, [well, changes]: Load): void {
-    this.loads.set(node, { well, changes, at: this.time.moment() })
-    const fresh = later(this.time.moment(), -TOLD_LAST_MS)
-    let sum = 0
-    for (const load of this.loads.values()) if (load.at > fresh) sum += load.changes
-    this.state.othersUse(sum)
-  }
-  /** Can others act? Null: none of them is heard. */
-  othersWell(): boolean | null {
-    const fresh = later(this.time.moment(), -TOLD_LAST_MS)
-    const heard = [...this.loads].filter(([node, { at }]) => at > fresh && this.peers.hears(node))
-    return heard.length === 0 ? null : heard.some(([, { well }]) => well)
-  }
-
-  passOn(body: Report, owner: NodeName): Effect.Effect<Outgoing> {
+  /** A report of a machine whose owner has its workers report to it alone. */
+  passOn(report: Report, owner: NodeName, answer: Answer): void {
     const now = this.time.moment()
-    const relaying = now < (this.relayUntil.get(body.host) ?? NEVER)
-    const back = now < later(this.sentAway.get(body.host) ?? NEVER, BACK_SOON_MS)
+    const relaying = now < (this.relayUntil.get(report.host) ?? NEVER)
+    const back = now < later(this.sentAway.get(report.host) ?? NEVER, BACK_SOON_MS)
     if (!relaying && !back) {
-      this.sentAway.set(body.host, now)
-      return Effect.succeed({ status: 421, body: { steward: owner } satisfies Redirect })
+      this.sentAway.set(report.host, now)
+      return answer({ status: 421, body: { steward: owner } satisfies Redirect })
     }
     if (!relaying) {
-      this.sentAway.delete(body.host)
-      this.relayUntil.set(body.host, later(now, RELAY_FOR_MS))
+      this.sentAway.delete(report.host)
+      this.relayUntil.set(report.host, later(now, RELAY_FOR_MS))
     }
-    return Effect.map(this.reports.ask(owner, body), (answer) => answer ?? { status: 503, body: {} })
+    this.relay(report, owner, answer)
   }
-
-  /** Reports of our machines that came to another node; null: too old to be answered. */
-  relayed(letter: Letter<unknown>, answer: (body: Report) => Outgoing): ReadonlyArray<Outgoing> | null {
-    if (this.time.wall() - letter.at > TOO_OLD_MS + 2 * this.clocksOffMs) return null
-    return letter.items.map((item) => {
-      const report = decodeReport(item)
-      return Result.isSuccess(report) ? answer(report.success) : { status: 400, body: {} }
+  /** A report of a machine whose owner shares its workers' reports among the nodes. */
+  relay(report: Report, owner: NodeName, answer: Answer): void {
+    const n = ++this.count
+    this.waiting.set(n, { report, owner, answer, until: later(this.time.moment(), RELAY_TIMEOUT_MS) })
+    this.reports.put(owner, { n, report, whole: false })
+    if (this.looking) return
+    this.looking = true
+    this.fork(this.giveUpLate())
+  }
+  /** Ends when no report waits. */
+  private giveUpLate() {
+    return Effect.gen({ self: this }, function* () {
+      while (this.waiting.size > 0) {
+        yield* Effect.sleep(LOOK_EVERY_MS)
+        const now = this.time.moment()
+        for (const [n, { until, answer }] of this.waiting) {
+          if (now < until) break
+          this.waiting.delete(n)
+          answer(LATER)
+        }
+      }
+      this.looking = false
     })
   }
+
+  private sendReports(
+    owner: NodeName,
+    items: Array<{ readonly n: number; readonly report: Report; readonly whole: boolean }>,
+  ): void {
+    while (items.length > 0) {
+      const reports: Array<RelayedReports["reports"][number]> = []
+      const repeated: Array<RelayedReports["repeats"][number]> = []
+      for (const { n, report, whole } of takeBatch(items, ({ report }) => sizeOf(report))) {
+        const before = whole ? undefined : this.answered.get(report.host)
+        if (before !== undefined && before.owner === owner && repeats(report, before.report))
+          repeated.push([n, packRepeat(report, before.report.tick)])
+        else reports.push([n, packReport(report)])
+      }
+      const letter: RelayedReports = { life: this.life, at: this.time.wall(), reports, repeats: repeated }
+      this.peers.tell("reports", letter, owner)
+    }
+  }
+  /** The owner's answers to reports that we handed on. */
+  receivedAnswers({ life, answers }: RelayedAnswers): void {
+    // An answer meant for an earlier life of this process is nobody's.
+    if (life !== this.life) return
+    for (const [n, status, token, orders] of answers) {
+      const waiting = this.waiting.get(n)
+      if (waiting === undefined) continue
+      const { report, owner } = waiting
+      if (status === SEND_WHOLE) {
+        this.answered.delete(report.host)
+        this.reports.put(owner, { n, report, whole: true })
+        continue
+      }
+      this.waiting.delete(n)
+      if (status === 200 && token !== null) {
+        this.answered.set(report.host, { report, owner })
+        waiting.answer({ status, body: { baton: token, orders } satisfies ReportAnswer })
+      } else waiting.answer({ status, body: {} })
+    }
+  }
+
+  /** Reports of our machines that came to another node. What is too old isn't answered. */
+  receivedReports(
+    from: NodeName,
+    letter: RelayedReports,
+    take: (report: Report, answer: Answer) => void,
+    whole: (repeat: RepeatedReport) => Report | null,
+  ): void {
+    if (this.time.wall() - letter.at > TOO_OLD_MS + 2 * this.clocksOffMs) return
+    this.lives.set(from, letter.life)
+    const answerTo =
+      (n: number): Answer =>
+      ({ status, body }) => {
+        const { baton, orders } = body as Partial<ReportAnswer>
+        this.answers.put(from, [n, status, baton ?? null, orders ?? []])
+      }
+    for (const [n, packed] of letter.reports) take(unpackReport(packed), answerTo(n))
+    for (const [n, packed] of letter.repeats) {
+      const report = whole(unpackRepeat(packed))
+      if (report === null) this.answers.put(from, [n, SEND_WHOLE, null, []])
+      else take(report, answerTo(n))
+    }
+  }
+
+  /** Forgets machines that are gone. */
+  forget(machine: MachineId): void {
+    this.sentAway.delete(machine)
+    this.relayUntil.delete(machine)
+    this.answered.delete(machine)
+  }
 }
--- a/packages/controller/src/worker-exchange.ts
+++ b/packages/controller/src/worker-exchange.ts
@@ -1,6 +1,7 @@
 import type { JobState } from "@sorreltally/jobs"
 import { cancellationBudget } from "@sorreltally/settings"
 import {
+  type Answer,
   decodeReport,
   later,
   type MachineId,
@@ -58,27 +59,20 @@
     this.held = new HeldReports(time.moment, (session) => this.answer(session))
   }
 
-  /** The answer to a report of one of our machines; 503 when we may not act for it. */
-  report(body: Report): Outgoing {
-    const session = this.heard(body)
-    return session === null ? NOT_OURS : this.answer(session)
-  }
   /**
-   * The same, once the next plan has looked at the room that the report tells
-   * of: what then starts goes along, where a command of its own would cost
-   * both ends a request more. A worker says nothing new for half a second
-   * anyway.
+   * Answers a report of one of our machines; 503 when we may not act for it.
+   * One that tells of room is answered once the next plan has looked at it:
+   * what then starts goes along, where a command of its own would cost both
+   * ends a request more. A worker says nothing new for half a second anyway.
    */
-  reportInTime(body: Report): Effect.Effect<Outgoing> {
-    return Effect.suspend(() => {
-      const before = this.roomChanges
-      const session = this.heard(body)
-      if (session === null) return Effect.succeed(NOT_OURS)
-      // Its worker gave that one up.
-      this.held.letGo(session, NOT_OURS)
-      if (this.roomChanges === before || !this.of.workWaits()) return Effect.succeed(this.answer(session))
-      return this.held.hold(session)
-    })
+  report(body: Report, answer: Answer): void {
+    const before = this.roomChanges
+    const session = this.heard(body)
+    if (session === null) return answer(NOT_OURS)
+    // Its worker gave that one up.
+    this.held.letGo(session, NOT_OURS)
+    if (this.roomChanges === before || !this.of.workWaits()) return answer(this.answer(session))
+    this.held.hold(session, answer)
   }
 
   /** Takes a report in; null when we may not act for its machine, or it is a late copy. */
--- a/packages/daemon/src/http.ts
+++ b/packages/daemon/src/http.ts
@@ -1,8 +1,8 @@
 import { createServer, request as httpRequest, type Server } from "node:http"
 import type { Sizes } from "@sorreltally/settings"
-import type { Address, Call, Exchange, Incoming, Log, Outgoing, Reply } from "@sorreltally/wire"
+import type { Address, Answer, Call, Exchange, Incoming, Log, Outgoing, Reply } from "@sorreltally/wire"
 import { answeredInTime, hostAndPort, NoAnswer } from "@sorreltally/wire"
-import { Effect, Exit } from "effect"
+import { Effect } from "effect"
 import { Accepted, ManyHosts, oneService } from "./connections.ts"
 
 /** `services` are asked much and often; all other addresses are machines. */
@@ -49,8 +49,7 @@
   listen: Address,
   bodyLimit: number,
   mostConnections: number,
-  handle: (request: Incoming) => Effect.Effect<Outgoing>,
-  run: <A>(effect: Effect.Effect<A>, onExit: (exit: Exit.Exit<A>) => void) => void,
+  serve: (request: Incoming, answer: Answer) => void,
   log: Log,
 ): Server => {
   const accepted = new Accepted(mostConnections)
@@ -82,11 +81,7 @@
         path: incoming.url ?? "/",
         body: Buffer.concat(chunks).toString("utf8"),
       }
-      run(handle(request), (exit) => {
-        if (Exit.isSuccess(exit)) return answer(exit.value)
-        log.error("request failed", { path: request.path, cause: String(exit.cause) })
-        answer({ status: 503, body: { error: "internal error" } })
-      })
+      serve(request, answer)
     })
   })
   server.on("connection", (socket) => {
--- a/packages/daemon/src/node.ts
+++ b/packages/daemon/src/node.ts
@@ -1,20 +1,20 @@
-import { Api } from "@sorreltally/api"
+import { Api, REPORT_PATH } from "@sorreltally/api"
 import { makeCloudClient } from "@sorreltally/cloud"
 import { makeController } from "@sorreltally/controller"
 import { type Links, makePeerChannel } from "@sorreltally/peers"
 import type { Operators, Platform } from "@sorreltally/settings"
 import { makeStateClient } from "@sorreltally/state"
 import {
+  type Answer,
   type Exchange,
   type Incoming,
   type Log,
   later,
   type Moment,
   NEVER,
-  type Outgoing,
   timekeeper,
 } from "@sorreltally/wire"
-import { Effect } from "effect"
+import { Effect, Exit } from "effect"
 
 /**
  * Trouble shorter than this doesn't make the node unready: the balancer
@@ -25,7 +25,8 @@
   othersWell === true ? 2_500 : othersWell === null ? 7_000 : 30_000
 
 export interface Node {
-  readonly handle: (request: Incoming) => Effect.Effect<Outgoing>
+  /** Answers a request of a worker, a user or a health check, once. */
+  readonly serve: (request: Incoming, answer: Answer) => void
   /** Runs until it is interrupted. */
   readonly run: Effect.Effect<void>
 }
@@ -44,7 +45,7 @@
     const state = yield* makeStateClient(outside.state, facts.state, nodes.length)
     const cloud = yield* makeCloudClient(outside.cloud, facts.cloud, nodes.length)
     const others = peers.map((p) => p.node_name)
-    const channel = yield* makePeerChannel(node_name, others, links, Math.floor(time.wall()))
+    const channel = yield* makePeerChannel(node_name, others, links, log)
     const controller = yield* makeController(platform, operators, nodes, state, cloud, channel, log)
     let wellAt: Moment = NEVER
     const ready = () => {
@@ -60,5 +61,23 @@
       report: controller.report.bind(controller),
     }
     const api = new Api(platform, operators, desk, time)
-    return { handle: (request) => api.handle(request), run: controller.run }
+    const context = yield* Effect.context<never>()
+    const failed = (request: Incoming, cause: unknown, answer: Answer) => {
+      log.error("request failed", { path: request.path, cause: String(cause) })
+      answer({ status: 503, body: { error: "internal error" } })
+    }
+    const serve = (request: Incoming, answer: Answer): void => {
+      if (request.path !== REPORT_PATH || request.method !== "POST") {
+        Effect.runCallbackWith(context)(api.handle(request), {
+          onExit: (exit) => (Exit.isSuccess(exit) ? answer(exit.value) : failed(request, exit.cause, answer)),
+        })
+        return
+      }
+      try {
+        api.report(request.body, answer)
+      } catch (cause) {
+        failed(request, cause, answer)
+      }
+    }
+    return { serve, run: controller.run }
   })
--- a/packages/daemon/src/service.ts
+++ b/packages/daemon/src/service.ts
@@ -28,15 +28,7 @@
       log,
     )
     const node = yield* makeNode(platform, operators, links, log)
-    const context = yield* Effect.context<never>()
-    serveHttp(
-      platform.listen,
-      BODY_LIMIT,
-      sizesOf(platform).inbound,
-      node.handle,
-      (effect, onExit) => Effect.runCallbackWith(context)(effect, { onExit }),
-      log,
-    )
+    serveHttp(platform.listen, BODY_LIMIT, sizesOf(platform).inbound, node.serve, log)
     logBudget(platform, operators, log)
     log.info("started", { node: platform.node_name, listen: platform.listen })
     yield* node.run
--- a/packages/peers/src/sockets.ts
+++ b/packages/peers/src/sockets.ts
@@ -2,6 +2,8 @@
 import { type Address, hostAndPort, type Log, type NodeName } from "@sorreltally/wire"
 import type { Links } from "./channel.ts"
 
+/** The length of a frame goes before it. */
+const HEAD_BYTES = 4
 const LONGEST_FRAME = 1 << 20
 const MOST_UNSENT = 1 << 20
 const REDIAL_MS = 500
@@ -73,19 +75,30 @@
   }
   for (const peer of peers) dial(peer.node, peer.address)
 
+  /** Frames for each node, until the end of this turn of the event loop: one write and one packet for all. */
+  const unsent = new Map<NodeName, Array<Uint8Array>>()
+  const flush = (to: NodeName): void => {
+    const chunks = unsent.get(to) ?? []
+    unsent.delete(to)
+    const socket = out.get(to)
+    if (socket !== undefined && socket.writableLength <= MOST_UNSENT) socket.write(Buffer.concat(chunks))
+  }
+
   return {
     receive: (handler) => {
       deliver = handler
     },
     send: (to, frame) => {
-      const socket = out.get(to)
-      if (socket === undefined || socket.writableLength > MOST_UNSENT) return
-      const head = Buffer.alloc(4)
+      if (!out.has(to)) return
+      const head = Buffer.allocUnsafe(HEAD_BYTES)
       head.writeUInt32BE(frame.length)
-      socket.cork()
-      socket.write(head)
-      socket.write(frame)
-      socket.uncork()
+      const before = unsent.get(to)
+      if (before !== undefined) {
+        before.push(head, frame)
+        return
+      }
+      unsent.set(to, [head, frame])
+      setImmediate(flush, to)
     },
   }
 }
--- a/packages/planner/src/lend.ts
+++ b/packages/planner/src/lend.ts
@@ -67,8 +67,11 @@
 const outranks = (need: Standing, own: Standing): boolean =>
   need.rank > own.rank || (need.rank === STARVED_RANK && own.rank === STARVED_RANK && need.since < own.since)
 
-/** The most urgent of our own queued work that this machine could serve. */
-const ownStanding = (jobs: ReadonlyArray<JobView>, machine: MachineView): Standing => {
+type KindOfMachine = Pick<MachineView, "type" | "zone" | "spot">
+const kindName = ({ type, zone, spot }: KindOfMachine): string => `${type.name}|${zone}|${spot}`
+
+/** The most urgent of our own queued work that this kind of machine could serve. */
+const ownStanding = (jobs: ReadonlyArray<JobView>, machine: KindOfMachine): Standing => {
   let most: Standing = { rank: Number.NEGATIVE_INFINITY, since: Number.POSITIVE_INFINITY }
   for (const job of jobs) {
     if (job.queued === 0 || !job.mayStart || !allowed(job.request, machine)) continue
@@ -79,13 +82,33 @@
   return most
 }
 
-/** Would some machine of ours be lent to this need once it is empty? */
-export const wouldLend = (
-  need: Need,
+/** The same for many machines: of a few kinds, each of which is looked at once. */
+const ownStandings = (jobs: ReadonlyArray<JobView>): ((machine: KindOfMachine) => Standing) => {
+  const byKind = new Map<string, Standing>()
+  return (machine) => {
+    const kind = kindName(machine)
+    const known = byKind.get(kind)
+    if (known !== undefined) return known
+    const standing = ownStanding(jobs, machine)
+    byKind.set(kind, standing)
+    return standing
+  }
+}
+
+/** Those needs to which some machine of ours would be lent once it is empty. */
+export const lendableTo = (
+  needs: ReadonlyArray<Need>,
   jobs: ReadonlyArray<JobView>,
   machines: ReadonlyArray<MachineView>,
-): boolean =>
-  machines.some((machine) => allowed(need.shape, machine) && outranks(need, ownStanding(jobs, machine)))
+): ReadonlyArray<Need> => {
+  if (needs.length === 0) return needs
+  const kinds = new Map<string, KindOfMachine>()
+  for (const machine of machines) kinds.set(kindName(machine), machine)
+  const standingOn = ownStandings(jobs)
+  const serves = (need: Need, kind: KindOfMachine) =>
+    allowed(need.shape, kind) && outranks(need, standingOn(kind))
+  return needs.filter((need) => [...kinds.values()].some((kind) => serves(need, kind)))
+}
 
 /**
  * Empty machines that other parts need more than we do: those needed by work
@@ -106,12 +129,13 @@
   const out: Array<Lent> = []
   if (needs.length === 0 || empty.size === 0) return out
   let spare = spareCores(machines, reserve)
+  const standingOn = ownStandings(jobs)
   for (const need of [...needs].sort((a, b) => b.rank - a.rank || a.since - b.since)) {
     let left = Math.ceil(need.tasks * share) - (lentLately.get(need.part) ?? 0)
     const cached = (m: MachineView) => Number(m.images.has(need.shape.bundle))
     for (const machine of [...empty].sort((a, b) => cached(b) - cached(a))) {
       if (left <= 0) break
-      if (!allowed(need.shape, machine) || !outranks(need, ownStanding(jobs, machine))) continue
+      if (!allowed(need.shape, machine) || !outranks(need, standingOn(machine))) continue
       if (need.rank < reserve.rank && machine.reserved) {
         if (spare < machine.free.cores) continue
         spare -= machine.free.cores
--- a/packages/planner/test/lend.test.ts
+++ b/packages/planner/test/lend.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict"
 import { test } from "node:test"
 import type { JobId, JobRequest, MachineId, MachineType, PartName, ZoneName } from "@sorreltally/wire"
-import { lend, type Need, wouldLend } from "../src/lend.ts"
+import { lend, lendableTo, type Need } from "../src/lend.ts"
 import type { JobView, MachineView, TaskShape } from "../src/model.ts"
 import { STARVED_RANK } from "../src/overdue.ts"
 
@@ -69,7 +69,8 @@
 test("a machine is emptied only for work that it would be lent to", () => {
   const starved = ours(5, STARVED_AGE_S)
   const busy = [{ ...machine, busyTasks: 2 }]
-  assert.ok(wouldLend(need(STARVED_RANK, 4), [starved], busy))
-  assert.ok(!wouldLend(need(STARVED_RANK, 6), [starved], busy))
-  assert.ok(wouldLend(need(0, 9), [], busy))
+  const [older, younger, other] = [need(STARVED_RANK, 4), need(STARVED_RANK, 6), need(0, 9)]
+  assert.deepEqual(lendableTo([older, younger], [starved], busy), [older])
+  assert.deepEqual(lendableTo([other], [], busy), [other])
+  assert.deepEqual(lendableTo([other], [], []), [])
 })
--- a/packages/testkit/src/random-day.ts
+++ b/packages/testkit/src/random-day.ts
@@ -51,6 +51,7 @@
   capacity: 6,
   stateRps: 200,
   stateWrites: 60,
+  cores: 0.4,
 }
 /** A short lease, and `cancel_s` above it by little more than the shortest grant that a controller can live with. */
 const tight = (usual: DaySettings, luck: Luck): DaySettings => {
@@ -73,6 +74,9 @@
   ])()
 }
 
+/** With the smallest one, a few machines are enough for reports to be shared. */
+const CORES = [0.4, 0.004, 0.001]
+
 const kindNamed = (name: string): TroubleKind => troubleKinds.find((kind) => kind.name === name)!
 const cancellations = (): Trouble => ({
   form: "",
@@ -94,7 +98,8 @@
 export const drawDay = (seed: number): RandomDay => {
   const luck = new Luck(seed)
   for (let i = 0; i < DRAWS_SKIPPED; i++) luck.next()
-  const settings = drawSettings(luck)
+  // Where cores are few, a busy owner has the other nodes receive its workers' reports.
+  const settings = { ...drawSettings(luck), cores: luck.pick(CORES) }
   const users = [...drawUsers(luck, settings)]
   const troubles: Array<TroubleEvent> = []
   const add = (name: string, atS: number, meets: MeetingPair | null): Trouble => {
@@ -139,10 +144,10 @@
   }
   const begin = troubles.filter(({ form, meets }) => form !== "" || meets !== null)
   const lines = [...users.map(userLine), ...begin.map(troubleLine)].sort((a, b) => a.atS - b.atS)
-  const { nodes, zones, leaseS, cancelS, teamLimit, capacity, stateRps, stateWrites } = settings
+  const { nodes, zones, leaseS, cancelS, teamLimit, capacity, stateRps, stateWrites, cores } = settings
   // More work than fits within the team's limit has to wait, the largest jobs too.
   const begunWithinS = BEGUN_WITHIN_S + Math.ceil(busiestTeamS(users, settings))
-  return `(scenario "random day ${seed}" (seed ${seed}) (until ${UNTIL_S}) (nodes ${nodes}) (zones ${zones.join(" ")})
+  return `(scenario "random day ${seed}" (seed ${seed}) (until ${UNTIL_S}) (nodes ${nodes}) (cores ${cores}) (zones ${zones.join(" ")})
   (workers 3 ${leaseS} ${cancelS}) (state-limits ${stateRps} ${stateWrites}) (team-limit ${teamLimit}) (capacity ${capacity}) (never-boots 0.05)
   ${lines.map(({ text }) => text).join("\n  ")}
   (expect (all-over) (served) (largest-begun-within ${begunWithinS})))`
--- a/packages/testkit/src/scenario.ts
+++ b/packages/testkit/src/scenario.ts
@@ -56,7 +56,16 @@
 }
 
 /** Entries of a scenario that take one number. */
-const ONE_NUMBER = new Set(["until", "seed", "nodes", "capacity", "sockets", "team-limit", "never-boots"])
+const ONE_NUMBER = new Set([
+  "until",
+  "seed",
+  "nodes",
+  "capacity",
+  "sockets",
+  "cores",
+  "team-limit",
+  "never-boots",
+])
 
 let jobCount = 0
 const job = (world: World, args: Args): JobId => world.users.jobs[number(args, 0, 0)]!
@@ -260,7 +269,7 @@
       if (what === "until") untilS = Number(args[0])
       else if (what === "seeds") seeds = args.map(Number)
       else if (what === "zones") setup = { ...setup, zones: args }
-      else if (["seed", "nodes", "capacity", "sockets"].includes(what))
+      else if (["seed", "nodes", "capacity", "sockets", "cores"].includes(what))
         setup = { ...setup, [what]: Number(args[0]) }
       else if (what === "state-limits")
         setup = { ...setup, stateRps: Number(args[0]), stateWrites: Number(args[1]) }
--- a/packages/testkit/src/trouble-kinds.ts
+++ b/packages/testkit/src/trouble-kinds.ts
@@ -13,6 +13,8 @@
   readonly capacity: number
   readonly stateRps: number
   readonly stateWrites: number
+  /** Share of a core that a controller has. */
+  readonly cores: number
 }
 /** When an effect of a trouble is to be expected, in seconds after the trouble began. */
 export interface EffectWindow {
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -38,6 +38,8 @@
   readonly stateWrites: number
   /** That a controller may have open. */
   readonly sockets: number
+  /** Share of a core that a controller has, as its settings say; its work takes no time here. */
+  readonly cores: number
   /** How often workers report, after how long unanswered they end, and how soon cancelled tasks are gone. */
   readonly workers: { readonly report_s: number; readonly lease_s: number; readonly cancel_s: number }
 }
@@ -51,6 +53,7 @@
   stateRps: 200,
   stateWrites: 60,
   sockets: 2500,
+  cores: 0.4,
   workers: { report_s: 3, lease_s: 27, cancel_s: 47 },
 }
 
@@ -124,7 +127,7 @@
   }
 
   private platform(index: number): Platform {
-    const { zones, teamMax, stateRps, stateWrites, sockets } = this.setup
+    const { zones, teamMax, stateRps, stateWrites, sockets, cores } = this.setup
     const peers = this.names
       .filter((_, i) => i !== index)
       .map((name) => ({ node_name: name, area: zones[0]!, peer_addr: `${name}:1` }))
@@ -146,7 +149,7 @@
         workers: this.setup.workers,
         state: { rps: stateRps, write_rps: stateWrites, value_kb: 4, txn_ops: 8 },
         cloud: { rps: 6, list_lag_s: 3 },
-        machine_limits: { cores: 0.4, mem_mb: 300, fd_limit: sockets },
+        machine_limits: { cores, mem_mb: 300, fd_limit: sockets },
         time_bound_ms: 1000,
       },
     } as unknown as Platform
@@ -224,14 +227,11 @@
         if (request.path === "/v1/report") this.reported(from, name)
         process.whenAwake(() => {
           const incoming = { method: request.method, path: request.path, body: JSON.stringify(request.body) }
-          Effect.runCallback(inside(node.handle(incoming)), {
-            onExit: (exit) => {
-              const outgoing = Exit.isSuccess(exit) ? exit.value : { status: 503, body: {} }
-              const report = request.path === "/v1/report" && outgoing.status === 200
-              if (report) this.membershipTroubles.answered(name, from)
-              if (outgoing.status === 200) this.troubles.answered(name, request.path)
-              send(report ? "answer" : null, () => answer(outgoing))
-            },
+          node.serve(incoming, (outgoing) => {
+            const report = request.path === "/v1/report" && outgoing.status === 200
+            if (report) this.membershipTroubles.answered(name, from)
+            if (outgoing.status === 200) this.troubles.answered(name, request.path)
+            send(report ? "answer" : null, () => answer(outgoing))
           })
         })
       })
--- a/packages/wire/src/exchange.ts
+++ b/packages/wire/src/exchange.ts
@@ -49,3 +49,5 @@
   readonly body: unknown
   readonly retryAfterS?: number
 }
+/** Takes the answer to one request, once. */
+export type Answer = (answer: Outgoing) => void
--- a/packages/workers/src/session.ts
+++ b/packages/workers/src/session.ts
@@ -10,6 +10,7 @@
   NEVER,
   type Order,
   type Piece,
+  type RepeatedReport,
   type Report,
   type Stamp,
   type TaskId,
@@ -55,6 +56,8 @@
    */
   receivesNothingSince: Moment | null = null
   pieces = new Map<TaskId, Piece>()
+  /** Counter of the body that listed them; null: nothing of this session did. */
+  private piecesAt: Tick | null = null
   readonly placements = new Map<TaskId, Placement>()
   readonly free: FreeRoom
   private readonly cache: ImageCache
@@ -168,6 +171,7 @@
     this.warningUntil = typeof body.warning_s === "number" ? later(now, body.warning_s * 1000) : null
     this.starts.tokenShown(body.baton)
     this.pieces = new Map(body.pieces.map((p) => [p.piece, p]))
+    this.piecesAt = body.tick
     for (const { piece, try: attempt } of body.pieces) this.starts.shown(piece, attempt)
     this.starts.keepDirect((task) => this.pieces.has(task) || this.placements.has(task))
 
@@ -206,6 +210,14 @@
     return outcomes
   }
 
+  /** The report in full, if the last word of this machine was the report that it repeats. */
+  repeated({ host, tenure, tick, baton, since }: RepeatedReport): Report | null {
+    if (this.address === null || this.tenure !== tenure || this.piecesAt !== since) return null
+    const { build, site, loaners } = this.recorded
+    const pieces = [...this.pieces.values()]
+    return { host, address: this.address, build, site, loaners, tenure, tick, baton, warning_s: null, pieces }
+  }
+
   /** Where this session stands; a body below it is old, or from a worker that began anew. */
   standing(): { readonly tenure: Tenure; readonly tick: Tick } {
     return this.tenure === null
@@ -229,6 +241,7 @@
     this.lastHeard = now
     this.lastAnswered = now
     this.pieces = new Map(body.pieces.map((p) => [p.piece, p]))
+    this.piecesAt = body.tick
     this.cache.clear()
     this.starts.workerRestarted()
     this.receivesNothingSince = now
@@ -290,6 +303,7 @@
     this.liveTenure = (last + 1) as Tenure
     this.tenure = null
     this.pieces.clear()
+    this.piecesAt = null
     this.cache.clear()
     const outcomes: Array<Outcome> = []
     for (const placement of [...this.placements.values()])
--- a/scenarios/limits-cancelled-hung.sexp
+++ b/scenarios/limits-cancelled-hung.sexp
@@ -1,11 +1,11 @@
 (scenario "every team is at its limit while jobs are cancelled whose machines are cut off or hang, and the leader changes"
-  (seed 73) (until 160) (team-limit 24) (capacity 6)
+  (seeds 73 74 75 76) (until 160) (team-limit 24) (capacity 6)
   (at 1 (submit pieces 6 cores 4 run 90 due 110 spot no) (submit owner blue pieces 6 cores 4 run 90 due 110 spot no))
   (at 28 (submit pieces 8 cores 4 run 15 due 110) (submit owner blue pieces 8 cores 4 run 15 due 110))
   (at 29.5 (cut-machines 3 25 drop))
   (at 30 (cancel-burst 2 24))
   (at 31 (crash host-0 0.3))
   (at 40 (crash host-0 0.3) (crash host-1 3))
-  (expect (withdrawn 2) (all-over) (happened leaderChangesAtLimit 2) (happened cancelledOutOfReach 8))
+  (expect (withdrawn 2) (all-over) (happened leaderChangesAtLimit 7) (happened cancelledOutOfReach 32))
   (guard "packages/controller/src/views.ts" "u.cores += job.request.cores * job.placements.size"
     "u.cores += job.withdrawn ? 0 : job.request.cores * job.placements.size"))
