Commands to workers are sent by the node that a worker reports to, many a message

Cause: beside reports, the busiest node's profile while a fleet fills shows its client requests next: some 22 commands a second, each a request of its own and often a connection. The owner now hands them to the node through which the worker last reported, in one message, and gets the worker's body back packed. No answer counts as before: the command may be carried out at any later time. One that was surely not sent is told as such. One of the new tests hung when it was first run: the watcher of reports that wait never ended in it, as its clock stood still; the test now ends it.

--- a/packages/controller/src/context.ts
+++ b/packages/controller/src/context.ts
@@ -17,6 +17,7 @@
 import type { Introduction, WorkerSession } from "@sorreltally/workers"
 import type { Effect } from "effect"
 import type { FleetBook } from "./book.ts"
+import type { CommandRelay } from "./command-relay.ts"
 import type { Estimates } from "./estimates.ts"
 import type { Failures } from "./failures.ts"
 import type { Fleet } from "./fleet.ts"
@@ -34,6 +35,8 @@
   readonly exchange: Exchange["Service"]
   /** Commands to workers under way from this node. */
   readonly commands: InFlight
+  /** Sends them, or has them sent by the node that a worker reports to. */
+  readonly commandRelay: CommandRelay
   readonly membership: Membership
   readonly fleet: Fleet
   readonly book: FleetBook
--- a/packages/controller/src/controller.ts
+++ b/packages/controller/src/controller.ts
@@ -20,6 +20,8 @@
   type PartName,
   type Redirect,
   type RelayedAnswers,
+  type RelayedCommands,
+  type RelayedReplies,
   type RelayedReports,
   type RepeatedReport,
   type Report,
@@ -32,6 +34,7 @@
 import type { Introduction } from "@sorreltally/workers"
 import { Cause, Effect, Fiber } from "effect"
 import { FleetBook } from "./book.ts"
+import { CommandRelay } from "./command-relay.ts"
 import type { EngineContext } from "./context.ts"
 import { PartEngine } from "./engine.ts"
 import { Estimates } from "./estimates.ts"
@@ -81,6 +84,7 @@
   private readonly sharing: ReportSharing
   private readonly estimates = new Estimates()
   private readonly commands: InFlight
+  private readonly commandRelay: CommandRelay
   private readonly wants: PartWants
   private readonly wantsChanged = new Signal()
   private hires = 0
@@ -120,6 +124,7 @@
     this.book = new FleetBook(this.membership.mirror)
     const { time_bound_ms, machine_limits, workers } = platform.facts
     this.relays = new Relays(peers, time, time_bound_ms, fork)
+    this.commandRelay = new CommandRelay(peers, exchange, this.commands, time, time_bound_ms, fork)
     this.loads = new NodeLoads(peers, time, state, () => this.load())
     this.sharing = new ReportSharing(time, machine_limits.cores, workers.report_s, () => this.loads.takers())
     this.book.listen((id, entry) => {
@@ -174,6 +179,7 @@
       cloud: this.cloud,
       exchange: this.exchange,
       commands: this.commands,
+      commandRelay: this.commandRelay,
       membership: this.membership,
       fleet: this.fleet,
       book: this.book,
@@ -279,7 +285,7 @@
       return answer(LATER)
     const elsewhere = this.reportsElsewhere(body, owner)
     if (elsewhere !== null) return answer({ status: 421, body: { steward: elsewhere } satisfies Redirect })
-    if (own !== undefined) return own.engine.report(body, answer)
+    if (own !== undefined) return own.engine.report(body, null, answer)
     // An owner that no node reaches may still be reached by its workers.
     if (!this.loads.sharesReports(owner) || !this.peers.reaches(owner))
       return this.relays.passOn(body, owner, answer)
@@ -310,6 +316,8 @@
   private receive(kind: string, body: unknown, from: NodeName): void {
     if (kind === "reports") return this.takeReports(from, body as RelayedReports)
     if (kind === "answers") return this.relays.receivedAnswers(body as RelayedAnswers)
+    if (kind === "commands") return this.commandRelay.receivedCommands(from, body as RelayedCommands)
+    if (kind === "replies") return this.commandRelay.receivedReplies(body as RelayedReplies)
     if (kind === "list") return this.takeList(body as ToldList)
     if (kind === "load") return this.loads.received(from, body as NodeLoad)
     if (kind === "job") return this.membership.mirror.hint(body as Entry)
@@ -322,7 +330,7 @@
     const take = (report: Report, answer: Answer) => {
       const engine = engineOf(report.host)
       if (engine === undefined) answer(LATER)
-      else engine.report(report, answer)
+      else engine.report(report, from, answer)
     }
     const whole = (repeat: RepeatedReport) => engineOf(repeat.host)?.repeated(repeat) ?? null
     this.relays.receivedReports(from, letter, take, whole)
--- a/packages/controller/src/engine.ts
+++ b/packages/controller/src/engine.ts
@@ -7,6 +7,7 @@
   type MachineId,
   type Moment,
   NEVER,
+  type NodeName,
   type PartName,
   type RepeatedReport,
   type Report,
@@ -217,8 +218,8 @@
 
   // --- workers --------------------------------------------------------------
 
-  report(body: Report, answer: Answer): void {
-    this.workers.report(body, answer)
+  report(body: Report, via: NodeName | null, answer: Answer): void {
+    this.workers.report(body, via, answer)
   }
   /** The whole of a report that repeats the last word of its machine; null: that was another one. */
   repeated(repeat: RepeatedReport): Report | null {
--- /dev/null
+++ b/packages/controller/src/outbox.ts
@@ -0,0 +1,29 @@
+/** What one node has for the others, gathered for a moment so that it goes in one message. */
+import type { NodeName } from "@sorreltally/wire"
+import { Effect } from "effect"
+
+export class Outbox<A> {
+  private readonly items = new Map<NodeName, Array<A>>()
+
+  constructor(
+    private readonly gatherMs: number,
+    private readonly send: (to: NodeName, items: Array<A>) => void,
+    private readonly fork: (effect: Effect.Effect<unknown>) => void,
+  ) {}
+
+  put(to: NodeName, item: A): void {
+    const before = this.items.get(to)
+    if (before !== undefined) {
+      before.push(item)
+      return
+    }
+    this.items.set(to, [item])
+    const flush = Effect.sync(() => this.flush(to))
+    this.fork(Effect.andThen(Effect.sleep(this.gatherMs), flush))
+  }
+  private flush(to: NodeName): void {
+    const items = this.items.get(to) ?? []
+    this.items.delete(to)
+    this.send(to, items)
+  }
+}
--- a/packages/controller/src/relays.ts
+++ b/packages/controller/src/relays.ts
@@ -25,6 +25,7 @@
   unpackReport,
 } from "@sorreltally/wire"
 import { Effect } from "effect"
+import { Outbox } from "./outbox.ts"
 
 /** A worker answers nobody for 4 s; what is relayed has to be back before that. */
 const RELAY_TIMEOUT_MS = 2_500
@@ -66,31 +67,6 @@
 }
 const LATER: Outgoing = { status: 503, body: {} }
 
-/** What one node has for another, sent a moment after the first of it came. */
-class Outbox<A> {
-  private readonly items = new Map<NodeName, Array<A>>()
-  constructor(
-    private readonly send: (to: NodeName, items: Array<A>) => void,
-    private readonly fork: (effect: Effect.Effect<unknown>) => void,
-  ) {}
-
-  put(to: NodeName, item: A): void {
-    const before = this.items.get(to)
-    if (before !== undefined) {
-      before.push(item)
-      return
-    }
-    this.items.set(to, [item])
-    const flush = Effect.sync(() => this.flush(to))
-    this.fork(Effect.andThen(Effect.sleep(GATHER_MS), flush))
-  }
-  private flush(to: NodeName): void {
-    const items = this.items.get(to) ?? []
-    this.items.delete(to)
-    this.send(to, items)
-  }
-}
-
 /**
  * Workers that reach this node and not their machine's owner, or whose owner shares its reports among
  * all nodes. Nothing is ever answered 200 but by the owner, for this very report.
@@ -115,11 +91,12 @@
     private readonly fork: (effect: Effect.Effect<unknown>) => void,
   ) {
     this.life = Math.floor(time.wall())
-    this.reports = new Outbox((to, items) => this.sendReports(to, items), fork)
-    this.answers = new Outbox((to, answers) => {
+    this.reports = new Outbox(GATHER_MS, (to, items) => this.sendReports(to, items), fork)
+    const sendAnswers = (to: NodeName, answers: RelayedAnswers["answers"]) => {
       const letter: RelayedAnswers = { life: this.lives.get(to) ?? 0, answers }
       this.peers.tell("answers", letter, to)
-    }, fork)
+    }
+    this.answers = new Outbox(GATHER_MS, sendAnswers, fork)
   }
 
   /** A report of a machine whose owner has its workers report to it alone. */
--- a/packages/controller/src/worker-exchange.ts
+++ b/packages/controller/src/worker-exchange.ts
@@ -6,6 +6,8 @@
   later,
   type MachineId,
   type Moment,
+  NOT_SENT,
+  type NodeName,
   type OrdersRequest,
   type Outgoing,
   type Report,
@@ -60,15 +62,17 @@
   }
 
   /**
-   * Answers a report of one of our machines; 503 when we may not act for it.
+   * Answers a report of one of our machines that came through another node, or to ours; 503 when we may
+   * not act for it.
    * One that tells of room is answered once the next plan has looked at it:
    * what then starts goes along, where a command of its own would cost both
    * ends a request more. A worker says nothing new for half a second anyway.
    */
-  report(body: Report, answer: Answer): void {
+  report(body: Report, via: NodeName | null, answer: Answer): void {
     const before = this.roomChanges
     const session = this.heard(body)
     if (session === null) return answer(NOT_OURS)
+    session.via = via
     // Its worker gave that one up.
     this.held.letGo(session, NOT_OURS)
     if (this.roomChanges === before || !this.of.workWaits()) return answer(this.answer(session))
@@ -263,22 +267,23 @@
       if (!orders.some((o) => o.verb !== "forget")) return Effect.void
       session.sending(orders, now)
       const body: OrdersRequest = { baton: token, tenure, orders }
-      const call = { address, method: "POST", path: "/orders", body, timeoutMs: CALL_TIMEOUT_MS } as const
-      return Effect.gen({ self: this }, function* () {
-        const reply = yield* Effect.result(this.of.ctx.commands.within(this.of.ctx.exchange.call(call)))
-        const status = Result.isSuccess(reply) ? reply.success.status : 0
-        session.sent(orders, token, status === 200 || status === 409)
+      return Effect.map(this.of.ctx.commandRelay.send(address, body, session.via), (reply) => {
+        const sure = reply.status === 200 || reply.status === 409 || reply.status === NOT_SENT
+        session.sent(orders, token, sure)
         if (this.of.isOver() || this.of.machines.get(session.id) !== session) return
-        const decoded = Result.isSuccess(reply) ? decodeReport(reply.success.body) : null
-        if (decoded === null || Result.isFailure(decoded)) {
-          session.ordersBadUntil = later(this.of.ctx.time.moment(), ORDERS_BACKOFF_MS)
-          return
-        }
-        const outcomes = session.observe(decoded.success, "direct", this.of.ctx.time.moment())
-        if (outcomes !== null) this.apply(session, outcomes)
-        this.afterBody(session)
-        if (this.mustWait || this.toTell.has(session)) this.pushOrders()
+        this.replied(session, reply.report)
       })
     })
   }
+  private replied(session: WorkerSession, report: Report | null): void {
+    const now = this.of.ctx.time.moment()
+    if (report === null) {
+      session.ordersBadUntil = later(now, ORDERS_BACKOFF_MS)
+      return
+    }
+    const outcomes = session.observe(report, "direct", now)
+    if (outcomes !== null) this.apply(session, outcomes)
+    this.afterBody(session)
+    if (this.mustWait || this.toTell.has(session)) this.pushOrders()
+  }
 }
--- /dev/null
+++ b/packages/controller/test/relays.test.ts
@@ -0,0 +1,140 @@
+import assert from "node:assert/strict"
+import { test } from "node:test"
+import type { PeerChannel } from "@sorreltally/peers"
+import type {
+  Moment,
+  NodeName,
+  Outgoing,
+  RelayedAnswers,
+  RelayedReports,
+  Report,
+  Timekeeper,
+  Token,
+  WallTime,
+} from "@sorreltally/wire"
+import { Effect } from "effect"
+import { Relays } from "../src/relays.ts"
+
+const OWNER = "host-0" as NodeName
+const report = (tick: number, status = "running"): Report =>
+  ({
+    host: "i-1",
+    address: "10.1.0.1:9000",
+    build: "g8",
+    site: "a",
+    loaners: true,
+    tenure: 1,
+    tick,
+    baton: 7,
+    warning_s: null,
+    pieces: [{ piece: "run-000001/0", try: 9, status, cause: null, stored: null }],
+  }) as unknown as Report
+
+/** Sleeps end when the test says so; what is told is kept. */
+const harness = () => {
+  let wall = 1_000_000
+  const told: Array<{ readonly kind: string; readonly body: unknown }> = []
+  const asleep: Array<() => void> = []
+  const time: Timekeeper = { moment: () => wall as Moment, wall: () => wall as WallTime }
+  const peers = { tell: (kind: string, body: unknown) => told.push({ kind, body }) } as unknown as PeerChannel
+  const fork = (effect: Effect.Effect<unknown>) => {
+    asleep.push(() => void Effect.runPromise(effect))
+  }
+  const relays = new Relays(peers, time, 1_000, fork)
+  const settle = async () => {
+    for (const wake of asleep.splice(0)) wake()
+    await new Promise((resolve) => setTimeout(resolve, 40))
+  }
+  const later = (ms: number) => {
+    wall += ms
+  }
+  /** Reports that still wait are given up: their watcher would keep the test's process alive. */
+  const end = async () => {
+    later(10_000)
+    await settle()
+  }
+  return { relays, told, settle, later, end }
+}
+const answers = (to: RelayedReports, status: number): RelayedAnswers => ({
+  life: to.life,
+  answers: [...to.reports, ...to.repeats].map(([n]) => [n, status, 7 as Token, []]),
+})
+
+test("a report goes whole at first, and as its counters while it repeats what its owner has answered", async () => {
+  const { relays, told, settle, end } = harness()
+  const answered: Array<Outgoing> = []
+  const hand = async (tick: number, status?: string): Promise<RelayedReports> => {
+    relays.relay(report(tick, status), OWNER, (outgoing) => answered.push(outgoing))
+    await settle()
+    return told.at(-1)!.body as RelayedReports
+  }
+  const first = await hand(1)
+  assert.deepEqual([first.reports.length, first.repeats.length], [1, 0])
+  relays.receivedAnswers(answers(first, 200))
+  const second = await hand(2)
+  assert.deepEqual(second.repeats[0]?.[1], ["i-1", 1, 2, 7, 1])
+  relays.receivedAnswers(answers(second, 200))
+  const third = await hand(3, "exited")
+  assert.deepEqual([third.reports.length, third.repeats.length], [1, 0])
+  relays.receivedAnswers(answers(third, 503))
+  assert.deepEqual(
+    answered.map(({ status }) => status),
+    [200, 200, 503],
+  )
+  // The owner has not taken the third one in: what repeats it goes whole.
+  assert.equal((await hand(4, "exited")).reports.length, 1)
+  await end()
+  assert.equal(answered.at(-1)?.status, 503)
+})
+
+// Guards against answers for a report that an earlier process under this name handed on.
+test("an answer meant for another life of the node answers nobody", async () => {
+  const { relays, told, settle, end } = harness()
+  const answered: Array<Outgoing> = []
+  relays.relay(report(1), OWNER, (outgoing) => answered.push(outgoing))
+  await settle()
+  const letter = told[0]!.body as RelayedReports
+  relays.receivedAnswers({ ...answers(letter, 200), life: letter.life - 1 })
+  assert.equal(answered.length, 0)
+  relays.receivedAnswers(answers(letter, 200))
+  assert.equal(answered.length, 1)
+  await end()
+})
+
+test("an owner that lacks the report which is repeated asks for the whole, once", async () => {
+  const owner = harness()
+  const repeat: RelayedReports = {
+    life: 5,
+    at: 1_000_000,
+    reports: [],
+    repeats: [[3, ["i-1", 1, 9, 7, 8] as never]],
+  }
+  const taken: Array<Report> = []
+  owner.relays.receivedReports(
+    OWNER,
+    repeat,
+    (body) => taken.push(body),
+    () => null,
+  )
+  await owner.settle()
+  assert.equal(taken.length, 0)
+  assert.deepEqual(owner.told[0]?.body, { life: 5, answers: [[3, 0, null, []]] })
+})
+
+// Guards against a held-up message whose workers have long given up, and reported to others.
+test("reports older than a worker waits are not taken in", () => {
+  const { relays, told, later } = harness()
+  const letter: RelayedReports = { life: 5, at: 1_000_000, reports: [], repeats: [] }
+  const asked: Array<unknown> = []
+  later(6_500)
+  relays.receivedReports(
+    OWNER,
+    { ...letter, repeats: [[1, ["i-1", 1, 9, 7, 8] as never]] },
+    () => asked.push("taken"),
+    () => {
+      asked.push("looked for")
+      return null
+    },
+  )
+  assert.deepEqual([asked, told], [[], []])
+})
--- a/packages/wire/src/relay.ts
+++ b/packages/wire/src/relay.ts
@@ -4,7 +4,7 @@
 
 type PackedTask = readonly [TaskId, Attempt, status: string, cause: string | null, stored: boolean | null]
 /** A report without the names of its fields: those are most of its bytes. */
-type PackedReport = readonly [
+export type PackedReport = readonly [
   MachineId,
   Address,
   TypeName,
@@ -45,6 +45,22 @@
   >
 }
 
+/** Commands to one worker that another node is to send: number, address, token, tenure, orders. */
+export type RelayedCommand = readonly [number: number, Address, Token, Tenure, orders: ReadonlyArray<Order>]
+export interface RelayedCommands {
+  readonly life: number
+  readonly at: number
+  readonly commands: ReadonlyArray<RelayedCommand>
+}
+/** Status of commands that were surely not sent. */
+export const NOT_SENT = -1
+/** What came of them: the worker's status, 0 for no answer, and its report. */
+export type RelayedReply = readonly [number: number, status: number, report: PackedReport | null]
+export interface RelayedReplies {
+  readonly life: number
+  readonly replies: ReadonlyArray<RelayedReply>
+}
+
 /** About what a packed report and each of its tasks take in a message, in bytes. */
 export const PACKED_REPORT_BYTES = 120
 export const PACKED_TASK_BYTES = 48
--- a/packages/workers/src/session.ts
+++ b/packages/workers/src/session.ts
@@ -8,6 +8,7 @@
   type MachineType,
   type Moment,
   NEVER,
+  type NodeName,
   type Order,
   type Piece,
   type RepeatedReport,
@@ -69,6 +70,8 @@
   /** Exited tasks that can't be forgotten until the worker has seen a higher token. */
   private unforgettable = 0
   ordersInFlight = false
+  /** The node through which its last report came; null: it came to the owner itself. */
+  via: NodeName | null = null
   ordersBadUntil: Moment = NEVER
 
   constructor(
--- a/packages/workers/test/session.test.ts
+++ b/packages/workers/test/session.test.ts
@@ -8,12 +8,13 @@
   MachineId,
   MachineType,
   Moment,
+  RepeatedReport,
   Report,
   Stamp,
   TaskId,
   Token,
 } from "@sorreltally/wire"
-import { type MachineEntry, WorkerSession } from "../src/index.ts"
+import { type Introduction, type MachineEntry, WorkerSession } from "../src/index.ts"
 
 const at = (seconds: number) => (seconds * 1000) as Moment
 const EPOCH = 7
@@ -299,3 +300,22 @@
   s.orders(at(31), durable)
   assert.equal(s.needsHigherToken(), false)
 })
+
+// Guards against a machine that was handed over and taken to show no task, because none was listed yet.
+test("a repeated report is known by the body that it repeats, seen by this very session", () => {
+  const repeat = (tick: number, since: number) =>
+    ({ host: "i-1", tenure: 1, tick, baton: EPOCH, since }) as unknown as RepeatedReport
+  const tasks = [{ piece: "run-000001/0", try: 9, status: "exited", cause: "done" }]
+  const on = session()
+  assert.equal(on.repeated(repeat(5, 4)), null)
+  on.introduced(
+    { address: "10.1.0.1:9000", tenure: 1, tick: 4, silentMs: 0, images: [] } as unknown as Introduction,
+    at(1),
+  )
+  assert.equal(on.repeated(repeat(5, 4)), null)
+  on.observe(report(5, { pieces: tasks }), "report", at(2))
+  assert.deepEqual(on.repeated(repeat(6, 5))?.pieces, tasks)
+  assert.equal(on.repeated(repeat(6, 4)), null)
+  on.observe(report(6), "direct", at(3))
+  assert.equal(on.repeated(repeat(7, 5)), null)
+})
