--- a/packages/testkit/src/measure.ts
+++ b/packages/testkit/src/measure.ts
@@ -2,7 +2,7 @@
  * Measures what a deployment of real controller processes uses: `npm run measure`. The stand-ins of the
  * state service, the cloud, the workers and the users run in this process, in real time, on loopback.
  *
- *     node target/measure.js FOLDER [--seconds N] [--filling] [--allocation] [--quick] [--scale N]
+ *     node target/measure.js FOLDER [--seconds N] [--load NAME] [--scale N] [--filling] [--allocation] [--quick]
  *
  * `--filling` profiles the filling of an empty deployment too, `--allocation` adds a profile of allocated
  * bytes, and `--quick` leaves out the loss of the leader and of all controllers.
@@ -36,9 +36,72 @@
 const ZONES = ["a", "b", "c"]
 const TURN_MS = 2
 const TIMES = { report_s: 5, lease_s: 27, cancel_s: 47 }
-/** The load at scale 1: some thousand machines, most of them busy. */
-const URGENT = { perMinute: 40, pieces: 35, cores: 4, run: 20 }
-const BULK = { perMinute: 6, pieces: 60, cores: 8, run: 80 }
+/** Jobs of one kind, and how many come a minute at scale 1. */
+interface LoadKind {
+  readonly lane: string
+  readonly owner: string
+  readonly perMinute: number
+  readonly atStart: number
+  readonly pieces: number
+  readonly cores: number
+  readonly run: number
+  readonly isUrgent: boolean
+  /** Seconds from its submission; null: none. */
+  readonly due: number | null
+}
+/** Loads at scale 1: some thousand machines, most of them busy. */
+const LOADS: Record<string, ReadonlyArray<LoadKind>> = {
+  /** Long tasks without a deadline beside short ones with one. */
+  mixed: [
+    {
+      lane: "urgent",
+      owner: "blue",
+      perMinute: 40,
+      atStart: 30,
+      pieces: 35,
+      cores: 4,
+      run: 20,
+      isUrgent: true,
+      due: 75,
+    },
+    {
+      lane: "bulk",
+      owner: "red",
+      perMinute: 6,
+      atStart: 10,
+      pieces: 60,
+      cores: 8,
+      run: 80,
+      isUrgent: false,
+      due: null,
+    },
+  ],
+  /** Deadlines alone: all is the leader's, some seventy starts a second. */
+  deadlines: [
+    {
+      lane: "urgent",
+      owner: "blue",
+      perMinute: 50,
+      atStart: 40,
+      pieces: 25,
+      cores: 4,
+      run: 40,
+      isUrgent: true,
+      due: 130,
+    },
+    {
+      lane: "bulk",
+      owner: "red",
+      perMinute: 50,
+      atStart: 40,
+      pieces: 60,
+      cores: 4,
+      run: 30,
+      isUrgent: false,
+      due: 110,
+    },
+  ],
+}
 const FILL_S = 45
 const TAKE_OVER_S = 12
 const ROWS = 70
@@ -51,11 +114,14 @@
     allocation: { type: "boolean", default: false },
     filling: { type: "boolean", default: false },
     quick: { type: "boolean", default: false },
+    load: { type: "string", default: "mixed" },
   },
 })
 const folder = positionals[0] ?? "target/measure"
 const seconds = Number(values.seconds)
 const scale = Number(values.scale)
+const load = LOADS[values.load]
+if (load === undefined) throw new Error(`--load is one of ${Object.keys(LOADS).join(", ")}`)
 mkdirSync(folder, { recursive: true })
 
 const machineType = (name: string, cores: number, hourly: number): MachineType =>
@@ -133,14 +199,14 @@
 }
 
 let jobs = 0
-const submit = (kind: typeof URGENT, urgent: boolean): void => {
+const submit = (kind: LoadKind): void => {
   const id = `run-${String(++jobs).padStart(6, "0")}` as JobId
   users.submit({
     id,
-    lane: urgent ? "urgent" : "bulk",
-    owner: urgent ? "blue" : "red",
+    lane: kind.lane,
+    owner: kind.owner,
     shape: "batch",
-    urgency: urgent ? "high" : "standard",
+    urgency: kind.isUrgent ? "high" : "standard",
     pieces: kind.pieces,
     cores: kind.cores,
     accelerators: 0,
@@ -155,12 +221,12 @@
     expected_s: kind.run,
     snapshot_s: 0,
     flush_s: 0,
-    due_s: urgent ? 3 * kind.run + 15 : null,
+    due_s: kind.due,
   } as unknown as JobRequest)
 }
-const keepSubmitting = (kind: typeof URGENT, urgent: boolean): void => {
-  submit(kind, urgent)
-  sim.after(60_000 / (kind.perMinute * scale), () => keepSubmitting(kind, urgent))
+const keepSubmitting = (kind: LoadKind): void => {
+  submit(kind)
+  sim.after(60_000 / (kind.perMinute * scale), () => keepSubmitting(kind))
 }
 
 const say = (line = ""): void => console.log(line)
@@ -289,10 +355,10 @@
   const nodes = await makeControllers()
   process.on("SIGINT", () => void Promise.all(nodes.map((node) => node.end())).then(() => process.exit(130)))
   await startAll("cold start", nodes)
-  keepSubmitting(URGENT, true)
-  keepSubmitting(BULK, false)
-  for (let i = 0; i < 10 * scale; i++) submit(BULK, false)
-  for (let i = 0; i < 30 * scale; i++) submit(URGENT, true)
+  for (const kind of load) {
+    for (let i = 0; i < kind.atStart * scale; i++) submit(kind)
+    keepSubmitting(kind)
+  }
   if (values.filling) await beginProfiles(nodes, "processor")
   await phase("filling", nodes, () => pause(1000 * FILL_S))
   const leader = await leaderOf(nodes)
--- a/packages/testkit/src/random-day.ts
+++ b/packages/testkit/src/random-day.ts
@@ -52,6 +52,7 @@
   stateRps: 200,
   stateWrites: 60,
   cores: 0.4,
+  processorShare: null,
 }
 /** A short lease, and `cancel_s` above it by little more than the shortest grant that a controller can live with. */
 const tight = (usual: DaySettings, luck: Luck): DaySettings => {
@@ -76,6 +77,8 @@
 
 /** With the smallest one, a few machines are enough for reports to be shared. */
 const CORES = [0.4, 0.004, 0.001]
+/** Shares of a core that the nodes really have; null: their work takes no time. */
+const SHARES = [null, null, 0.2, 0.1, 0.05]
 
 const kindNamed = (name: string): TroubleKind => troubleKinds.find((kind) => kind.name === name)!
 const cancellations = (): Trouble => ({
@@ -99,7 +102,7 @@
   const luck = new Luck(seed)
   for (let i = 0; i < DRAWS_SKIPPED; i++) luck.next()
   // Where cores are few, a busy owner has the other nodes receive its workers' reports.
-  const settings = { ...drawSettings(luck), cores: luck.pick(CORES) }
+  const settings = { ...drawSettings(luck), cores: luck.pick(CORES), processorShare: luck.pick(SHARES) }
   const users = [...drawUsers(luck, settings)]
   const troubles: Array<TroubleEvent> = []
   const add = (name: string, atS: number, meets: MeetingPair | null): Trouble => {
@@ -144,10 +147,12 @@
   }
   const begin = troubles.filter(({ form, meets }) => form !== "" || meets !== null)
   const lines = [...users.map(userLine), ...begin.map(troubleLine)].sort((a, b) => a.atS - b.atS)
-  const { nodes, zones, leaseS, cancelS, teamLimit, capacity, stateRps, stateWrites, cores } = settings
+  const { nodes, zones, leaseS, cancelS, teamLimit, capacity, stateRps, stateWrites, cores, processorShare } =
+    settings
   // More work than fits within the team's limit has to wait, the largest jobs too.
   const begunWithinS = BEGUN_WITHIN_S + Math.ceil(busiestTeamS(users, settings))
-  return `(scenario "random day ${seed}" (seed ${seed}) (until ${UNTIL_S}) (nodes ${nodes}) (cores ${cores}) (zones ${zones.join(" ")})
+  const slow = processorShare === null ? "" : ` (processor-share ${processorShare})`
+  return `(scenario "random day ${seed}" (seed ${seed}) (until ${UNTIL_S}) (nodes ${nodes}) (cores ${cores})${slow} (zones ${zones.join(" ")})
   (workers 3 ${leaseS} ${cancelS}) (state-limits ${stateRps} ${stateWrites}) (team-limit ${teamLimit}) (capacity ${capacity}) (never-boots 0.05)
   ${lines.map(({ text }) => text).join("\n  ")}
   (expect (all-over) (served) (largest-begun-within ${begunWithinS})))`
--- a/packages/testkit/src/scenario.ts
+++ b/packages/testkit/src/scenario.ts
@@ -63,6 +63,7 @@
   "capacity",
   "sockets",
   "cores",
+  "processor-share",
   "team-limit",
   "never-boots",
 ])
@@ -149,6 +150,8 @@
     world.count.workersAtOne >= number(args, 0, 0)
       ? null
       : `${world.count.workersAtOne} workers at one node, not ${args[0]}`,
+  "workers-at-one-node-at-most": (world, args) =>
+    atMost("workers at one node", world.count.workersAtOne, args),
   "rented-at-most": (world, args) => atMost("machines rented", world.cloud.rented, args),
   /** At least so many faulty machines were given back as such, and none that isn't. */
   "faulty-returned": (world, args) => {
@@ -279,6 +282,7 @@
           workers: { report_s: Number(args[0]), lease_s: Number(args[1]), cancel_s: Number(args[2]) },
         }
       else if (what === "team-limit") setup = { ...setup, teamMax: Number(args[0]) }
+      else if (what === "processor-share") setup = { ...setup, processorShare: Number(args[0]) }
       else if (what === "never-boots") setup = { ...setup, neverBoots: Number(args[0]) }
       else throw new Error(`line ${entry.location.start.line}: unknown entry ${what}`)
     }
--- a/packages/testkit/src/sim.ts
+++ b/packages/testkit/src/sim.ts
@@ -1,6 +1,7 @@
 import { Clock, Duration, Effect, Scheduler } from "effect"
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus"
 import { Occurrences } from "./occurrences.ts"
+import { Processor, TIMER_MS } from "./processor.ts"
 
 interface Timer {
   readonly at: number
@@ -101,15 +102,24 @@
     this.now = Math.max(this.now, end)
   }
 
-  /** A process of its own: once killed, nothing it waits for ever comes; while it stands still, nothing yet. */
-  process(wallOffsetMs: number): Process {
+  /**
+   * A process of its own: once killed, nothing it waits for ever comes; while it stands still, nothing yet.
+   * With a share of a core, what it does takes time.
+   */
+  process(wallOffsetMs: number, share: number | null = null): Process {
     let alive = true
     let missed: Array<() => void> | null = null
-    const whenAwake = (run: () => void): void => {
+    const processor = new Processor(share, this.now)
+    const unlessStill = (run: () => void): void => {
       if (!alive) return
       if (missed === null) run()
       else missed.push(run)
     }
+    const whenAwake = (run: () => void, workMs = 0): void => {
+      const at = processor.schedule(this.now, workMs)
+      if (at <= this.now) unlessStill(run)
+      else this.after(at - this.now, () => unlessStill(run))
+    }
     const wall = () => Math.floor(EPOCH_MS + this.now + wallOffsetMs)
     const nanos = () => BigInt(Math.round(this.now * 1e6))
     const clock: Clock.Clock = {
@@ -121,12 +131,15 @@
       monotonicTimeNanos: Effect.sync(nanos),
       sleep: (duration) =>
         Effect.callback<void>((resume) => {
-          const cancel = this.after(Duration.toMillis(duration), () => whenAwake(() => resume(Effect.void)))
+          const cancel = this.after(Duration.toMillis(duration), () =>
+            whenAwake(() => resume(Effect.void), TIMER_MS),
+          )
           return Effect.sync(cancel)
         }),
     }
     const scheduler = new Scheduler.MixedScheduler("async", (run) => {
-      this.soon(() => whenAwake(run))
+      // What follows from an event is a part of its work.
+      this.soon(() => unlessStill(run))
       return () => {}
     })
     return {
@@ -147,7 +160,7 @@
           const late = missed ?? []
           missed = null
           this.lastResumedAt = this.now
-          for (const run of late) this.soon(() => whenAwake(run))
+          for (const run of late) this.soon(() => unlessStill(run))
         })
       },
     }
@@ -158,8 +171,8 @@
   readonly provide: Provide
   readonly kill: () => void
   readonly alive: () => boolean
-  /** At once, or when the process goes on. */
-  readonly whenAwake: (run: () => void) => void
+  /** At once, or when the process goes on, or its processor is free; takes so much of a core. */
+  readonly whenAwake: (run: () => void, workMs?: number) => void
   readonly freeze: (ms: number) => void
 }
 export type Provide = <A, E, R>(effect: Effect.Effect<A, E, R>) => Effect.Effect<A, E, R>
--- a/packages/testkit/src/trouble-kinds.ts
+++ b/packages/testkit/src/trouble-kinds.ts
@@ -15,6 +15,8 @@
   readonly stateWrites: number
   /** Share of a core that a controller has. */
   readonly cores: number
+  /** The share that its work really has; null: its work takes no time. */
+  readonly processorShare: number | null
 }
 /** When an effect of a trouble is to be expected, in seconds after the trouble began. */
 export interface EffectWindow {
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -18,6 +18,7 @@
 import { LimitMeetings } from "./limit-meetings.ts"
 import { MembershipTroubles } from "./membership-troubles.ts"
 import { type Answer, Net, type Request } from "./net.ts"
+import { ANSWER_MS, peerMessageMs, requestMs } from "./processor.ts"
 import { Rules } from "./rules.ts"
 import { type Process, Sim } from "./sim.ts"
 import { StateService } from "./state.ts"
@@ -38,8 +39,10 @@
   readonly stateWrites: number
   /** That a controller may have open. */
   readonly sockets: number
-  /** Share of a core that a controller has, as its settings say; its work takes no time here. */
+  /** Share of a core that a controller has, as its settings say. */
   readonly cores: number
+  /** The share of a core that its work really has; null: its work takes no time. */
+  readonly processorShare: number | null
   /** How often workers report, after how long unanswered they end, and how soon cancelled tasks are gone. */
   readonly workers: { readonly report_s: number; readonly lease_s: number; readonly cancel_s: number }
 }
@@ -54,6 +57,7 @@
   stateWrites: 60,
   sockets: 2500,
   cores: 0.4,
+  processorShare: null,
   workers: { report_s: 3, lease_s: 27, cancel_s: 47 },
 }
 
@@ -166,7 +170,7 @@
   private start(name: NodeName): void {
     if (this.lives.has(name)) return
     const index = this.names.indexOf(name)
-    const process = this.sim.process(this.sim.luck.between(-900, 900))
+    const process = this.sim.process(this.sim.luck.between(-900, 900), this.setup.processorShare)
     const hear: Life["hear"] = { receive: null }
     const send = (what: Sending | null, go: () => void) => {
       const life = this.lives.get(name)
@@ -182,7 +186,7 @@
         this.count.peerBytes += bytes.length
         const deliver = () => {
           const life = this.lives.get(to)
-          life?.process.whenAwake(() => life.hear.receive?.(bytes))
+          life?.process.whenAwake(() => life.hear.receive?.(bytes), peerMessageMs(bytes.length))
         }
         process.whenAwake(() => this.net.carry(name, to, deliver))
       },
@@ -198,8 +202,12 @@
         const command = call.path === "/orders"
         if (command) this.count.commandsAtOnce = Math.max(this.count.commandsAtOnce, ++commands)
         const done = (answer: Answer | null) =>
-          process.whenAwake(() =>
-            resume(answer === null ? Effect.fail(new NoAnswer({ reason: "reset" })) : Effect.succeed(answer)),
+          process.whenAwake(
+            () =>
+              resume(
+                answer === null ? Effect.fail(new NoAnswer({ reason: "reset" })) : Effect.succeed(answer),
+              ),
+            ANSWER_MS,
           )
         send(sendingOf(request), () => this.net.request(name, to, request, done))
       }).pipe(
@@ -233,15 +241,17 @@
             if (outgoing.status === 200) this.troubles.answered(name, request.path)
             send(report ? "answer" : null, () => answer(outgoing))
           })
-        })
+        }, requestMs(request))
       })
     }
     this.lives.set(name, { process, hear, freezeAt: null })
-    Effect.runCallback(dress(makeNode(this.platform(index), defaultOperators(), links, logs)), {
-      onExit: (exit) => {
-        if (Exit.isSuccess(exit)) born(exit.value)
-      },
-    })
+    process.whenAwake(() =>
+      Effect.runCallback(dress(makeNode(this.platform(index), defaultOperators(), links, logs)), {
+        onExit: (exit) => {
+          if (Exit.isSuccess(exit)) born(exit.value)
+        },
+      }),
+    )
   }
 
   private reported(machine: string, to: NodeName): void {
