--- /dev/null
+++ b/scenarios/slow-take-over.sexp
@@ -0,0 +1,8 @@
+(scenario "slow nodes: a new owner counts what a cancelled job still has on machines that hang"
+  (seed 42) (until 240) (processor-share 0.05) (team-limit 16) (capacity 8)
+  (at 1 (submit pieces 4 cores 4 run 60 due 300 spot no))
+  (at 20 (hang 12 26)) (at 21 (cancel 0))
+  (at 22 (submit pieces 4 cores 4 run 20 due 300 zone b spot no) (submit pieces 4 cores 4 run 20 due 300 zone a spot no))
+  (at 24 (crash-all 2))
+  (expect (all-over))
+  (guard "packages/controller/src/job-registry.ts" "if (this.events.ready() && job.ended)" "if (job.ended)"))
