--- a/packages/controller/src/report-sharing.ts
+++ b/packages/controller/src/report-sharing.ts
@@ -2,11 +2,11 @@
 import { later, type MachineId, type Moment, NEVER, type NodeName, type Timekeeper } from "@sorreltally/wire"
 
 /**
- * Reports a second that an owner answers itself, for each core that it has. A report takes some
- * 0.15 to 0.3 ms of processor time (docs/resources.md), one that is handed on a fifth of that: beyond this rate
- * they would take more than a tenth of the node's share.
+ * Reports a second that an owner answers itself, for each core that it has. At some 0.25 ms of processor
+ * time each, they would take more than a quarter of the node's share beyond this rate. Below it sharing them costs
+ * all nodes together more than it saves: a third more where all are shared (docs/resources.md).
  */
-const REPORTS_PER_CORE = 400
+const REPORTS_PER_CORE = 1_000
 /** It answers all itself again at this share of that rate: hand-overs cost more than they save near the limit. */
 const ENOUGH_LESS = 0.7
 /** Reports are counted over about this time. */
