A held answer to a node's earlier life is never sent to its present one

Found by rereading the change. Reports and commands that are handed on are numbered by the life of the node that asks, but an answer went out under the life which that node had last when it was sent. A node that was back while its earlier life's report was held, or its command was under way, could take the answer for one to another machine's question of the same number: commands meant for another machine, and a lease renewed without a word for it. Answers and replies now keep the life that they are for, and those of earlier lives are dropped. Test: relays.test.ts.

--- a/packages/controller/src/command-relay.ts
+++ b/packages/controller/src/command-relay.ts
@@ -21,7 +21,7 @@
 } from "@sorreltally/wire"
 import { Effect, Result } from "effect"
 import type { InFlight } from "./in-flight.ts"
-import { Outbox } from "./outbox.ts"
+import { type ForLife, Outbox, ofLife } from "./outbox.ts"
 
 const CALL_TIMEOUT_MS = 3_000
 /** What the node that sends a command for another takes besides, there and back. */
@@ -44,7 +44,7 @@
 export class CommandRelay {
   private readonly waiting = new Map<number, Waiting>()
   private readonly commands: Outbox<RelayedCommand>
-  private readonly replies: Outbox<RelayedReply>
+  private readonly replies: Outbox<ForLife<RelayedReply>>
   /** Lives of the nodes for which we send commands. */
   private readonly lives = new Map<NodeName, number>()
   private readonly life: number
@@ -64,8 +64,9 @@
       const letter: RelayedCommands = { life: this.life, at: time.wall(), commands }
       peers.tell("commands", letter, to)
     }
-    const sendReplies = (to: NodeName, replies: ReadonlyArray<RelayedReply>) => {
-      const letter: RelayedReplies = { life: this.lives.get(to) ?? 0, replies }
+    const sendReplies = (to: NodeName, replies: ReadonlyArray<ForLife<RelayedReply>>) => {
+      const life = this.lives.get(to) ?? 0
+      const letter: RelayedReplies = { life, replies: ofLife(replies, life) }
       peers.tell("replies", letter, to)
     }
     this.commands = new Outbox(GATHER_MS, sendCommands, fork)
@@ -106,13 +107,19 @@
     // Its sender has given up on what is older, and has sent other commands since.
     const tooOld = wall - at > CALL_TIMEOUT_MS + 2 * this.clocksOffMs
     for (const [n, address, baton, tenure, orders] of commands) {
-      if (tooOld || this.underWay.full) this.replies.put(from, [n, NOT_SENT, null])
-      else this.fork(this.sendFor(from, n, address, { baton, tenure, orders }))
+      if (tooOld || this.underWay.full) this.replies.put(from, { life, item: [n, NOT_SENT, null] })
+      else this.fork(this.sendFor(from, life, n, address, { baton, tenure, orders }))
     }
   }
-  private sendFor(from: NodeName, n: number, address: Address, body: OrdersRequest): Effect.Effect<void> {
+  private sendFor(
+    from: NodeName,
+    life: number,
+    n: number,
+    address: Address,
+    body: OrdersRequest,
+  ): Effect.Effect<void> {
     return Effect.map(this.underWay.within(this.call(address, body)), ({ status, report }) =>
-      this.replies.put(from, [n, status, report === null ? null : packReport(report)]),
+      this.replies.put(from, { life, item: [n, status, report === null ? null : packReport(report)] }),
     )
   }
   /** What came of commands that another node sent for us. */
--- a/packages/controller/src/outbox.ts
+++ b/packages/controller/src/outbox.ts
@@ -2,6 +2,15 @@
 import type { NodeName } from "@sorreltally/wire"
 import { Effect } from "effect"
 
+/** Something for one life of a node: a later process under its name counts its questions anew. */
+export interface ForLife<A> {
+  readonly life: number
+  readonly item: A
+}
+/** Guards against an answer to an earlier life that is taken for one to a question of the present one. */
+export const ofLife = <A>(items: ReadonlyArray<ForLife<A>>, life: number): ReadonlyArray<A> =>
+  items.filter((one) => one.life === life).map(({ item }) => item)
+
 export class Outbox<A> {
   private readonly items = new Map<NodeName, Array<A>>()
 
--- a/packages/controller/src/relays.ts
+++ b/packages/controller/src/relays.ts
@@ -25,7 +25,7 @@
   unpackReport,
 } from "@sorreltally/wire"
 import { Effect } from "effect"
-import { Outbox } from "./outbox.ts"
+import { type ForLife, Outbox, ofLife } from "./outbox.ts"
 
 /** A worker answers nobody for 4 s; what is relayed has to be back before that. */
 const RELAY_TIMEOUT_MS = 2_500
@@ -77,7 +77,7 @@
   private readonly waiting = new Map<number, Waiting>()
   private readonly answered = new Map<MachineId, Answered>()
   private readonly reports: Outbox<{ readonly n: number; readonly report: Report; readonly whole: boolean }>
-  private readonly answers: Outbox<RelayedAnswers["answers"][number]>
+  private readonly answers: Outbox<ForLife<RelayedAnswers["answers"][number]>>
   /** Lives of the nodes whose reports we answer. */
   private readonly lives = new Map<NodeName, number>()
   private readonly life: number
@@ -92,8 +92,12 @@
   ) {
     this.life = Math.floor(time.wall())
     this.reports = new Outbox(GATHER_MS, (to, items) => this.sendReports(to, items), fork)
-    const sendAnswers = (to: NodeName, answers: RelayedAnswers["answers"]) => {
-      const letter: RelayedAnswers = { life: this.lives.get(to) ?? 0, answers }
+    const sendAnswers = (
+      to: NodeName,
+      answers: ReadonlyArray<ForLife<RelayedAnswers["answers"][number]>>,
+    ) => {
+      const life = this.lives.get(to) ?? 0
+      const letter: RelayedAnswers = { life, answers: ofLife(answers, life) }
       this.peers.tell("answers", letter, to)
     }
     this.answers = new Outbox(GATHER_MS, sendAnswers, fork)
@@ -185,17 +189,18 @@
     whole: (repeat: RepeatedReport) => Report | null,
   ): void {
     if (this.time.wall() - letter.at > TOO_OLD_MS + 2 * this.clocksOffMs) return
-    this.lives.set(from, letter.life)
+    const { life } = letter
+    this.lives.set(from, life)
     const answerTo =
       (n: number): Answer =>
       ({ status, body }) => {
         const { baton, orders } = body as Partial<ReportAnswer>
-        this.answers.put(from, [n, status, baton ?? null, orders ?? []])
+        this.answers.put(from, { life, item: [n, status, baton ?? null, orders ?? []] })
       }
     for (const [n, packed] of letter.reports) take(unpackReport(packed), answerTo(n))
     for (const [n, packed] of letter.repeats) {
       const report = whole(unpackRepeat(packed))
-      if (report === null) this.answers.put(from, [n, SEND_WHOLE, null, []])
+      if (report === null) this.answers.put(from, { life, item: [n, SEND_WHOLE, null, []] })
       else take(report, answerTo(n))
     }
   }
--- a/packages/controller/test/relays.test.ts
+++ b/packages/controller/test/relays.test.ts
@@ -1,16 +1,17 @@
 import assert from "node:assert/strict"
 import { test } from "node:test"
 import type { PeerChannel } from "@sorreltally/peers"
-import type {
-  Moment,
-  NodeName,
-  Outgoing,
-  RelayedAnswers,
-  RelayedReports,
-  Report,
-  Timekeeper,
-  Token,
-  WallTime,
+import {
+  type Moment,
+  type NodeName,
+  type Outgoing,
+  packReport,
+  type RelayedAnswers,
+  type RelayedReports,
+  type Report,
+  type Timekeeper,
+  type Token,
+  type WallTime,
 } from "@sorreltally/wire"
 import { Effect } from "effect"
 import { Relays } from "../src/relays.ts"
@@ -138,3 +139,30 @@
   )
   assert.deepEqual([asked, told], [[], []])
 })
+
+// Guards against a held answer that reaches another machine's report: the node that asked ended, is back, and counts anew.
+test("an answer to an earlier life of a node is not sent to its present one", async () => {
+  const owner = harness()
+  const held: Array<(answer: Outgoing) => void> = []
+  const ask = (life: number): RelayedReports => ({
+    life,
+    at: 1_000_000,
+    reports: [[5, packReport(report(1))]],
+    repeats: [],
+  })
+  const hand = (life: number) =>
+    owner.relays.receivedReports(
+      OWNER,
+      ask(life),
+      (_, answer) => held.push(answer),
+      () => null,
+    )
+  hand(1)
+  hand(2)
+  held[0]!({ status: 200, body: { baton: 7, orders: [] } })
+  await owner.settle()
+  assert.deepEqual(owner.told.at(-1)?.body, { life: 2, answers: [] })
+  held[1]!({ status: 200, body: { baton: 8, orders: [] } })
+  await owner.settle()
+  assert.deepEqual(owner.told.at(-1)?.body, { life: 2, answers: [[5, 200, 8, []]] })
+})
