--- a/review/standins/controllers.mjs
+++ b/review/standins/controllers.mjs
@@ -20,7 +20,12 @@
   child = null
 
   constructor(name, port, folder) {
-    Object.assign(this, { name, port, settingsFile: `${folder}/${name}.json`, logFile: `${folder}/${name}.log` })
+    Object.assign(this, {
+      name,
+      port,
+      settingsFile: `${folder}/${name}.json`,
+      logFile: `${folder}/${name}.log`,
+    })
   }
   configure(settings) {
     writeFileSync(this.settingsFile, JSON.stringify(settings))
@@ -74,3 +79,15 @@
   outside: { cloud: `${LOOPBACK}:${services.cloud}`, state: `${LOOPBACK}:${services.state}` },
   facts,
 })
+
+const portOf = (address) => Number(address.slice(address.lastIndexOf(":") + 1))
+
+/** Ports of controllers, and of the services that they use, by their settings. */
+export const servicesOf = (controllers) => {
+  const settings = controllers.map(({ settingsFile }) => JSON.parse(readFileSync(settingsFile, "utf8")))
+  const { cloud, state } = settings[0].outside
+  return {
+    ports: settings.map(({ listen, back }) => [portOf(listen), portOf(back)]),
+    services: { cloud: portOf(cloud), state: portOf(state) },
+  }
+}
--- a/review/standins/deployment.mjs
+++ b/review/standins/deployment.mjs
@@ -69,7 +69,7 @@
   }
   /** Ends every process and listener that the deployment started. */
   async close() {
-    await Promise.all(this.controllers.map((controller) => controller.kill()))
+    await Promise.all((this.controllers ?? []).map((controller) => controller.kill()))
     this.users.close()
     this.cloud.close()
     this.state.close()
--- a/review/standins/http.mjs
+++ b/review/standins/http.mjs
@@ -64,17 +64,23 @@
   }
 }
 
+const textOf = (body) => {
+  if (body === undefined) return ""
+  return typeof body === "string" ? body : JSON.stringify(body)
+}
+
 /** A client that keeps its connections. */
 export const makeClient = (maxSockets = 32) => {
   const agent = new Agent({ keepAlive: true, maxSockets })
-  /** Sends one request; resolves to `{ status, body, retryAfterS }`, or null if there was no response. */
+  /**
+   * Sends one request, with a string as it is and any other body as JSON. Resolves to
+   * `{ status, body, retryAfterS }`, or null if there was no response.
+   */
   const call = (port, method, path, body, timeoutMs) =>
     new Promise((resolve) => {
-      const text = body === undefined ? "" : JSON.stringify(body)
+      const text = textOf(body)
       const headers =
-        text === ""
-          ? {}
-          : { "content-type": "application/json", "content-length": Buffer.byteLength(text) }
+        text === "" ? {} : { "content-type": "application/json", "content-length": Buffer.byteLength(text) }
       const outgoing = request({ agent, host: LOOPBACK, port, method, path, headers }, (incoming) => {
         readText(incoming).then(
           (received) =>
--- a/review/standins/state-service.mjs
+++ b/review/standins/state-service.mjs
@@ -177,8 +177,7 @@
     if (this.changes.length > KEPT_CHANGES) this.changes.shift()
   }
   notify(keys) {
-    for (const watch of [...this.watches])
-      if (keys.some((key) => key.startsWith(watch.prefix))) watch.end()
+    for (const watch of [...this.watches]) if (keys.some((key) => key.startsWith(watch.prefix))) watch.end()
   }
 
   grant(body) {
--- a/review/standins/worker.mjs
+++ b/review/standins/worker.mjs
@@ -26,7 +26,7 @@
 
   constructor({ machine, type, world, record }) {
     Object.assign(this, { machine, type, world, record })
-    this.tick = world.firstTick ?? 1
+    this.tick = world.firstTick ?? 1n
     this.nodeIndex = Math.floor(Math.random() * world.nodes.length)
     this.client = makeClient(2)
     this.renewedAt = performance.now()
@@ -65,6 +65,7 @@
     this.renewedAt = performance.now()
     this.hasChanged = true
   }
+  /** The text of a report; its tick is written as an integer of any size. */
   body() {
     const { id, build, site, loaners } = this.machine
     const pieces = [...this.tasks.values()].map(({ piece, attempt, status, cause }) => ({
@@ -73,18 +74,19 @@
       status,
       ...(cause === undefined ? {} : { cause }),
     }))
-    return {
+    const report = {
       host: id,
       address: this.address,
       build,
       site,
       loaners,
       tenure: this.tenure,
-      tick: this.tick++,
+      tick: `${this.tick++}`,
       baton: this.baton,
       warning_s: null,
       pieces,
     }
+    return JSON.stringify(report).replace(/"tick":"(\d+)"/, '"tick":$1')
   }
   async report(now) {
     const { times, nodes } = this.world
@@ -131,14 +133,14 @@
   // --- commands
 
   serve(method, path, body) {
-    if (method === "GET" && path === "/inspect") return { status: 200, body: this.body() }
+    if (method === "GET" && path === "/inspect") return { status: 200, text: this.body() }
     if (method !== "POST" || path !== "/orders") return { status: 404, body: {} }
     const { baton, tenure, orders } = body ?? {}
     if (baton === undefined || tenure === undefined) return { status: 400, body: {} }
-    if (baton < this.baton || tenure !== this.tenure) return { status: 409, body: this.body() }
+    if (baton < this.baton || tenure !== this.tenure) return { status: 409, text: this.body() }
     this.raiseToken(baton)
     this.execute(orders ?? [])
-    return { status: 200, body: this.body() }
+    return { status: 200, text: this.body() }
   }
   execute(orders) {
     for (const { verb, piece, try: attempt } of orders) {
