Store client: log and count transactions that the store rejects for good

Cause: a 400 of the state service left no trace: neither log nor metric could tell which writer sent what. Change: the store client logs each rejection with the size of the transaction, the keys that it writes and the store's reason, and counts rejections and 429s; GET /metrics exports them (Effect's registry, Prometheus text). No behaviour changes otherwise.

--- a/packages/api/src/api.ts
+++ b/packages/api/src/api.ts
@@ -13,6 +13,7 @@
 import type { AdmissionSettings, Operators, Platform } from "@sorreltally/settings"
 import type { StoreError } from "@sorreltally/store"
 import { Effect, Option, Result } from "effect"
+import { PrometheusMetrics } from "effect/observability"
 import type { ApiBackend } from "./backend.ts"
 import { ConcurrencyLimiter } from "./concurrency-limiter.ts"
 import { JobRequests } from "./job-requests.ts"
@@ -26,8 +27,17 @@
 const POLL_TIMEOUT_MS = 1_500
 /** Path to which workers POST their heartbeats. */
 export const HEARTBEAT_PATH = "/v1/report"
+const METRICS_PATH = "/metrics"
+const METRICS_CONTENT_TYPE = "text/plain; version=0.0.4"
 const JOB_PATH = /^\/v1\/jobs\/([^/]+)(\/cancel)?$/
 
+/** All metrics of the process in the Prometheus text format. */
+const metricsResponse: Effect.Effect<OutgoingResponse> = Effect.map(PrometheusMetrics.format(), (text) => ({
+  status: 200,
+  body: text,
+  contentType: METRICS_CONTENT_TYPE,
+}))
+
 /** Serves requests. No method throws or fails: every outcome is a response. */
 export class Api {
   private readonly admission: AdmissionSettings
@@ -53,6 +63,7 @@
   handle(request: IncomingRequest): Effect.Effect<OutgoingResponse> {
     const path = request.path.split("?")[0] ?? request.path
     if (path === "/ready") return allowOnlyMethod("GET", request, () => Effect.succeed(this.readiness()))
+    if (path === METRICS_PATH) return allowOnlyMethod("GET", request, () => metricsResponse)
     if (path === HEARTBEAT_PATH)
       return allowOnlyMethod("POST", request, () => this.heartbeatResponse(request.body))
     if (path === "/v1/jobs")
--- a/packages/daemon/src/http-server.ts
+++ b/packages/daemon/src/http-server.ts
@@ -28,9 +28,10 @@
 }
 
 const writeResponse = (response: ServerResponse, outgoing: OutgoingResponse): void => {
-  const text = JSON.stringify(outgoing.body)
+  const { body, contentType } = outgoing
+  const text = contentType === undefined ? JSON.stringify(body) : String(body)
   response.writeHead(outgoing.status, {
-    "content-type": "application/json",
+    "content-type": contentType ?? "application/json",
     "content-length": String(Buffer.byteLength(text)),
     ...(outgoing.retryAfterS === undefined ? {} : { "retry-after": String(outgoing.retryAfterS) }),
   })
--- a/packages/protocol/src/http.ts
+++ b/packages/protocol/src/http.ts
@@ -68,8 +68,10 @@
 /** The response to an incoming request. */
 export interface OutgoingResponse {
   readonly status: number
-  /** Sent as JSON. */
+  /** Sent as JSON, unless `contentType` is given. */
   readonly body: unknown
+  /** Type of a body that is a string and sent as it is; absent for JSON. */
+  readonly contentType?: string
   /** Value of the `Retry-After` header, in seconds; absent for a response without it. */
   readonly retryAfterS?: number
 }
--- a/packages/store/src/codec.ts
+++ b/packages/store/src/codec.ts
@@ -83,8 +83,21 @@
   return { kind: "events", revision: epoch, events: news.map(decodeEvent) }
 }
 
-const encodeCondition = ({ key, modRevision }: Condition) => ({ path: key, stamp: modRevision })
-const encodeOperation = (operation: Operation) => {
+type WireCondition = { readonly path: StoreKey<unknown>; readonly stamp: ModRevision }
+type WireOperation =
+  | { readonly set: StoreKey<unknown>; readonly v: unknown; readonly permit?: LeaseId }
+  | { readonly delete: StoreKey<unknown> }
+/** An encoded transaction. */
+export interface WireTransaction {
+  readonly when: ReadonlyArray<WireCondition>
+  readonly apply: ReadonlyArray<WireOperation>
+}
+
+const encodeCondition = ({ key, modRevision }: Condition): WireCondition => ({
+  path: key,
+  stamp: modRevision,
+})
+const encodeOperation = (operation: Operation): WireOperation => {
   if (operation.kind === "delete") return { delete: operation.key }
   const { key, value, leaseId } = operation
   const encoded = { set: key, v: encodeRecord(key, value) }
@@ -94,7 +107,7 @@
 export const encodeTransaction = (
   conditions: ReadonlyArray<Condition>,
   operations: ReadonlyArray<Operation>,
-) => ({ when: conditions.map(encodeCondition), apply: operations.map(encodeOperation) })
+): WireTransaction => ({ when: conditions.map(encodeCondition), apply: operations.map(encodeOperation) })
 /** Returns the revision that an applied transaction wrote, from the body of the response. */
 export const decodeCommit = (body: unknown): ModRevision => (body as { readonly epoch: ModRevision }).epoch
 /**
@@ -107,3 +120,9 @@
 export const encodeLeaseRequest = (ttlMs: number) => ({ ttl_ms: ttlMs })
 /** Decodes the response to the request for a lease. */
 export const decodeLease = (body: unknown): LeaseId => (body as { readonly permit: LeaseId }).permit
+
+/** Returns the reason that the store gives for a refusal; empty if it gives none. */
+export const decodeRefusal = (body: unknown): string => {
+  const { error } = (body ?? {}) as { readonly error?: unknown }
+  return typeof error === "string" ? error : ""
+}
--- a/packages/store/src/make-client.ts
+++ b/packages/store/src/make-client.ts
@@ -1,5 +1,5 @@
 /** Construction of the store client: requests over HTTP, with a write limit that all controllers share. */
-import { type Address, HttpClient, processClocks } from "@sorreltally/protocol"
+import { type Address, HttpClient, type Log, processClocks } from "@sorreltally/protocol"
 import { SharedRateLimit } from "@sorreltally/rate-limit"
 import { Effect } from "effect"
 import type { StoreClient, StoreLimits } from "./client.ts"
@@ -10,6 +10,7 @@
   address: Address,
   limits: StoreLimits,
   nodes: number,
+  log: Log,
 ): Effect.Effect<StoreClient, never, HttpClient> =>
   Effect.gen(function* () {
     const send = sendTo(yield* HttpClient, address)
@@ -23,7 +24,7 @@
     return {
       get: get(send),
       list: list(send),
-      compareAndSwap: compareAndSwap(send, rateLimit),
+      compareAndSwap: compareAndSwap(send, rateLimit, log),
       awaitWriteCapacity: (operations, priority) => rateLimit.acquire(operations, priority),
       createLease: createLease(send),
       keepAlive: keepAlive(send),
--- a/packages/store/src/requests.ts
+++ b/packages/store/src/requests.ts
@@ -7,11 +7,12 @@
   HttpClient,
   HttpRequest,
   HttpResponse,
+  Log,
   NoResponseError,
   Revision,
 } from "@sorreltally/protocol"
 import type { RequestPriority, SharedRateLimit } from "@sorreltally/rate-limit"
-import { Effect } from "effect"
+import { Effect, Metric } from "effect"
 import type { StoreClient } from "./client.ts"
 import {
   decodeCommit,
@@ -20,16 +21,21 @@
   decodeEvents,
   decodeLease,
   decodePage,
+  decodeRefusal,
   type EntryPage,
   encodeLeaseRequest,
   encodeTransaction,
   paths,
+  type WireTransaction,
 } from "./codec.ts"
 import { StoreError, type StoreOperation } from "./errors.ts"
+import { rateLimitedTransactions, rejectedTransactions } from "./metrics.ts"
 import type { CompareAndSwapResult, Entry, WatchResult } from "./model.ts"
 import type { KeyFamily, StoreKey } from "./records/keys.ts"
+import { measureTransaction } from "./transaction-size.ts"
 
 const REQUEST_TIMEOUT_MS = 1_500
+const BAD_REQUEST = 400
 const TOO_MANY_REQUESTS = 429
 const LIST_TIMEOUT_MS = 5_000
 const LIST_PAGE_ITEMS = 1_000
@@ -113,7 +119,7 @@
 
 /** Sends a transaction; retries it after a delay if it exceeded the store's rate. */
 export const compareAndSwap =
-  (send: Send, rateLimit: SharedRateLimit): StoreClient["compareAndSwap"] =>
+  (send: Send, rateLimit: SharedRateLimit, log: Log): StoreClient["compareAndSwap"] =>
   (conditions, operations, priority, timeoutMs) =>
     Effect.suspend(() => {
       const body = encodeTransaction(conditions, operations)
@@ -124,9 +130,21 @@
         body,
         timeoutMs,
       }
-      return sendWithinRate(send, rateLimit, request, operations.length, priority)
+      return Effect.tap(sendWithinRate(send, rateLimit, request, operations.length, priority), (response) =>
+        response.status === BAD_REQUEST ? reportRejection(log, body, response) : Effect.void,
+      ).pipe(Effect.flatMap(toCompareAndSwapResult))
     })
 
+const reportRejection = (log: Log, transaction: WireTransaction, { body }: HttpResponse) =>
+  Effect.gen(function* () {
+    log.info("store rejected a transaction", {
+      reason: decodeRefusal(body),
+      ...measureTransaction(transaction),
+      keys: transaction.apply.map((operation) => ("set" in operation ? operation.set : operation.delete)),
+    })
+    yield* Metric.update(rejectedTransactions, 1)
+  })
+
 /** Waits for write capacity; a transaction without writes doesn't count against the write rate. */
 const acquireWrites = (rateLimit: SharedRateLimit, writes: number, priority: RequestPriority) =>
   writes === 0 ? Effect.void : rateLimit.acquire(writes, priority)
@@ -137,16 +155,17 @@
   request: StoreRequest,
   writes: number,
   priority: RequestPriority | "reserved",
-): Effect.Effect<CompareAndSwapResult, StoreError> =>
+): Effect.Effect<HttpResponse, StoreError> =>
   Effect.gen(function* () {
     // A loop rather than a `Schedule`: each attempt waits for capacity, except the first of a reserved write.
     for (let retries = 0; ; retries++) {
       if (priority !== "reserved") yield* acquireWrites(rateLimit, writes, priority)
       else if (retries > 0) yield* acquireWrites(rateLimit, writes, 2)
       const response = yield* send(request)
-      if (response.status !== TOO_MANY_REQUESTS) return yield* toCompareAndSwapResult(response)
+      if (response.status !== TOO_MANY_REQUESTS) return response
+      yield* Metric.update(rateLimitedTransactions, 1)
       rateLimit.recordRejection()
-      if (retries >= MAX_RETRIES) return yield* toCompareAndSwapResult(response)
+      if (retries >= MAX_RETRIES) return response
       // Rejected by the store's rate limit and therefore not applied: wait for capacity again, then retry.
       yield* Effect.sleep(RETRY_PAUSE_MS * (retries + 1))
     }
--- a/packages/store/test/builders.ts
+++ b/packages/store/test/builders.ts
@@ -31,9 +31,10 @@
           ? Effect.fail(new NoResponseError({ reason: "request timed out" }))
           : Effect.succeed(next)
       })
+    const log = { error: () => {}, info: () => {}, debug: () => {} }
     const limits = { writesPerSecond: WRITES_PER_SECOND, valueKb: 4, maxOperations: 8 }
     const client = yield* Effect.provideService(
-      makeStoreClient("store:1" as Address, limits, 1),
+      makeStoreClient("store:1" as Address, limits, 1, log),
       HttpClient,
       { call },
     )
