--- a/packages/api/src/backend.ts
+++ b/packages/api/src/backend.ts
@@ -9,14 +9,18 @@
   | { readonly kind: "final"; readonly status: FinalStatus }
   | { readonly kind: "none" }
 
+/**
+ * Result of a submission. `tooLarge`: the job is not known, and its record is larger than the store's values
+ * may be; any other result but `accepted` is the lookup of a job accepted earlier under this id.
+ */
+export type Acceptance = JobLookup | { readonly kind: "accepted" } | { readonly kind: "tooLarge" }
+
 /** All jobs of the deployment. A lookup returns a state at least as recent as the call. */
 export interface JobService {
   /** Looks a job up, behind a read barrier. */
   readonly find: (id: JobId) => Effect.Effect<JobLookup, StoreError>
-  /**
-   * Accepts a job durably; any result but `accepted` is the lookup of a job accepted earlier under this id.
-   */
-  readonly accept: (record: JobRecord) => Effect.Effect<JobLookup | { readonly kind: "accepted" }, StoreError>
+  /** Accepts a job durably, unless one was accepted earlier under this id. */
+  readonly accept: (record: JobRecord) => Effect.Effect<Acceptance, StoreError>
   /** Cancels a live job durably: `live` means cancelled from now on. A job that has ended is not changed. */
   readonly cancel: (id: JobId) => Effect.Effect<JobLookup, StoreError>
 }
--- a/packages/api/src/job-requests.ts
+++ b/packages/api/src/job-requests.ts
@@ -64,11 +64,16 @@
     return Effect.suspend(() => {
       const record = { spec, submittedAt: this.clocks.wallNow(), cancelled: false }
       return Effect.map(this.backend.jobs.accept(record), (found) => {
-        if (found.kind === "accepted")
-          return { status: 201, body: encodeJobView({ id: spec.id, status: "queued" }) }
-        if (found.kind === "none")
-          return unavailable(503, "the job's state can't be read now", this.retryAfterS)
-        return this.viewResponse(spec.id, found)
+        switch (found.kind) {
+          case "accepted":
+            return { status: 201, body: encodeJobView({ id: spec.id, status: "queued" }) }
+          case "tooLarge":
+            return unprocessable("the job's description is too large to be stored")
+          case "none":
+            return unavailable(503, "the job's state can't be read now", this.retryAfterS)
+          default:
+            return this.viewResponse(spec.id, found)
+        }
       })
     })
   }
--- a/packages/api/test/api.test.ts
+++ b/packages/api/test/api.test.ts
@@ -63,6 +63,13 @@
       assert.equal(await statusOf(submit({ ...submission, ...fields })), 422, JSON.stringify(fields))
   })
 
+  // Guards against users who repeat a submission for a minute that can never be stored.
+  it("gets 422 if the job's record is larger than a value of the store may be", async () => {
+    const { submit } = buildApi()
+    const builds = Array.from({ length: 20 }, () => "g8")
+    assert.equal(await statusOf(submit({ ...submission, builds })), 422)
+  })
+
   it("gets 503 with retry-after if machine types are unknown or the store refuses requests", async () => {
     const machineTypesUnknown = await buildApi({ machineTypesKnown: false }).submit(submission)
     assert.equal(machineTypesUnknown.status, 503)
@@ -88,6 +95,15 @@
   })
 })
 
+describe("the metrics", () => {
+  it("are answered as text in the Prometheus format", async () => {
+    const { status, contentType, body } = await buildApi().send("GET", "/metrics")
+    assert.equal(status, 200)
+    assert.match(contentType ?? "", /^text\/plain/)
+    assert.equal(typeof body, "string")
+  })
+})
+
 describe("a cancellation", () => {
   it("is durable for a live job, and doesn't change a job that is done", async () => {
     const { send, finals, submit } = buildApi()
--- a/packages/api/test/builders.ts
+++ b/packages/api/test/builders.ts
@@ -35,6 +35,9 @@
   due_s: 900,
 }
 
+/** Records with more machine types are too large for the job service in memory. */
+const MAX_STORED_MACHINE_TYPES = 10
+
 /** A job service that keeps jobs in memory; with `storeDown`, every call fails as if the store refused it. */
 const jobsInMemory = (storeDown: boolean) => {
   const live = new Map<string, JobRecord>()
@@ -55,6 +58,8 @@
         const { id } = record.spec
         const found = lookup(id)
         if (found.kind !== "none") return found
+        if ((record.spec.machineTypes ?? []).length > MAX_STORED_MACHINE_TYPES)
+          return { kind: "tooLarge" } as const
         live.set(id, record)
         return { kind: "accepted" } as const
       }),
--- a/packages/controller/src/controller.ts
+++ b/packages/controller/src/controller.ts
@@ -27,7 +27,7 @@
 import { CloudInventory, MachineIndex } from "@sorreltally/provisioning"
 import { cancellationBudget, type Operators, type Platform, socketBudget } from "@sorreltally/settings"
 import { type NodeContext, RunTimeEstimates } from "@sorreltally/shard"
-import type { Entry, StoreClient } from "@sorreltally/store"
+import type { Entry, JobPage, StoreClient } from "@sorreltally/store"
 import { Cause, Effect, type Fiber } from "effect"
 import { DemandExchange } from "./demand-exchange.ts"
 import { DemandRegistry } from "./demand-registry.ts"
@@ -128,7 +128,6 @@
         self: platform.nodeName,
         nodes,
         ...cancellationBudget(platform.deployment.workers, operators.membership),
-        storeRequestsPerSecond: platform.deployment.store.requestsPerSecond,
       },
       store,
       listener,
@@ -164,10 +163,11 @@
   private makeJobStore(): JobStore {
     return new JobStore({
       store: this.options.store,
+      log: this.options.log,
       membership: this.membership,
       jobIndex: this.jobIndex,
       events: {
-        onPageWritten: (entry, spec) => this.jobChanged(entry, spec),
+        onPagesWritten: (entries, spec) => this.jobChanged(entries, spec),
         cachedFinalStatus: (id) => this.progress.finalStatus(id),
         cacheFinalStatus: (id, status) => this.progress.cacheFinalStatus(id, status),
         shardOf: (spec) => this.shardOfJob(spec),
@@ -263,7 +263,8 @@
       case "nodeLoad":
         return this.loads.receiveLoad(from, message.load)
       case "jobChanged":
-        return this.membership.replica.applyWrite(message.page)
+        if (this.jobIndex.keepsJobs(message.page)) this.membership.replica.applyWrite(message.page)
+        return
       case "demand":
         return this.demandExchange.receive(message.demands)
       case "machineHandoff":
@@ -307,11 +308,16 @@
   counts(id: JobId): DisplayedCounts {
     return this.progress.counts(id)
   }
-  /** Applies the page of an accepted or cancelled job, and sends it to the job's owner ahead of the watch. */
-  private jobChanged(entry: Entry, spec: JobSpec): Effect.Effect<void> {
+  /**
+   * Applies the pages that accepted or cancelled a job, and sends a single page to the job's owner ahead of the
+   * watch. Several pages are left to the watch, which delivers them together.
+   */
+  private jobChanged(entries: ReadonlyArray<Entry<JobPage>>, spec: JobSpec): Effect.Effect<void> {
     return Effect.sync(() => {
       const { platform, peers } = this.options
-      this.membership.replica.applyWrite(entry)
+      this.membership.replica.applyWrites(entries)
+      const [entry, ...others] = entries
+      if (entry === undefined || others.length > 0) return
       const owner = this.membership.ownerOf(this.shardOfJob(spec))
       if (owner !== null && owner !== platform.nodeName)
         peers.send({ kind: "jobChanged", page: entry }, owner)
--- a/packages/controller/src/machine-handoffs.ts
+++ b/packages/controller/src/machine-handoffs.ts
@@ -37,8 +37,8 @@
   }
   /** Accepts machines that another node hands off to a shard of this node. */
   receive({ shard, block, machines }: MachineHandoffMessage): void {
-    const { shards, membership } = this.options
-    membership.replica.applyWrite(block)
+    const { shards, membership, machineIndex } = this.options
+    if (machineIndex.keepsMachines(block)) membership.replica.applyWrite(block)
     const ownController = shards.get(shard)
     for (const { machineId, handoff } of machines) ownController?.acceptHandoff(machineId, handoff)
   }
--- a/packages/daemon/src/node.ts
+++ b/packages/daemon/src/node.ts
@@ -31,9 +31,13 @@
     const { deployment, services, peers, nodeName } = platform
     const peerNames = peers.map((peer) => peer.nodeName)
     const nodes = [nodeName, ...peerNames].sort()
-    const { writesPerSecond, valueKb, maxOperations } = deployment.store
-    const storeLimits = { writesPerSecond, valueKb, maxOperations }
-    const store = yield* makeStoreClient(services.store, storeLimits, nodes.length, log)
+    const store = yield* makeStoreClient({
+      address: services.store,
+      limits: deployment.store,
+      announcedLimits: deployment.store.announced,
+      nodeCount: nodes.length,
+      log,
+    })
     const cloud = yield* makeCloudClient(services.cloud, deployment.cloud, nodes.length)
     const channel = yield* makePeerChannel(nodeName, peerNames, links, log)
     return yield* makeController({ platform, operators, nodes, store, cloud, peers: channel, log })
--- a/packages/jobs/src/ends-pages.ts
+++ b/packages/jobs/src/ends-pages.ts
@@ -7,7 +7,6 @@
 import { type FinalStates, keys, type StoreKey, type StoreLimits } from "@sorreltally/store"
 import { digitsOf, finalStateBytes } from "./job-pages.ts"
 import type { JobState } from "./job-state.ts"
-import { CONDITIONS_PER_OPERATION } from "./page-conditions.ts"
 
 const ENDS_PAGES_PER_SHARD = 4
 /** Conditions of each write besides those on job pages: one on the shard, one on the ends page. */
@@ -17,10 +16,11 @@
  * Keys of a shard's ends pages, which together hold the final states that are
  * not moved to job pages yet. A cancellation is conditioned on all of them
  * and on the job page of its job, so their number is limited by the number of
- * conditions of a transaction.
+ * conditions of a transaction. It has to be the same on every node and at any time,
+ * or a cancellation could miss a page: `limits` are the lowest that the settings state.
  */
 export const endsPageKeys = (shard: ShardName, limits: StoreLimits): ReadonlyArray<StoreKey<FinalStates>> => {
-  const maxPageConditions = CONDITIONS_PER_OPERATION * limits.maxOperations - 1
+  const maxPageConditions = limits.maxConditions - 1
   return Array.from({ length: Math.min(ENDS_PAGES_PER_SHARD, maxPageConditions) }, (_, n) =>
     keys.endsPage(shard, n),
   )
@@ -75,7 +75,7 @@
   const cancelled = [...content.page.cancelled]
   const doneJobs = new Set<JobState>()
   const jobs: Array<JobState> = []
-  const maxDoneJobs = CONDITIONS_PER_OPERATION * limits.maxOperations - FIXED_CONDITIONS
+  const maxDoneJobs = limits.maxConditions - FIXED_CONDITIONS
   let { bytes } = content
   for (const job of waiting) {
     const digits = digitsOf(job.id)
--- a/packages/jobs/src/job-ends.ts
+++ b/packages/jobs/src/job-ends.ts
@@ -92,17 +92,20 @@
   private readonly jobAdded = new Signal()
   private readonly endsPagesGrew = new Signal()
   private readonly pacer: WritePacer
-  private readonly maxPageBytes: number
 
   constructor(private readonly options: JobEndsWriterOptions) {
     const { store, now } = options
-    const { valueKb } = store.limits
     this.pacer = new WritePacer({
       store,
       now,
       spacingMs: (load) => interpolateByLoad(load, LOW_LOAD_SPACING_MS, HIGH_LOAD_SPACING_MS),
     })
-    this.maxPageBytes = Math.min(valueKb * 1024, MAX_PAGE_BYTES) - PAGE_OVERHEAD_BYTES
+  }
+
+  /** Limit on the final states of an ends page, in bytes. */
+  private get maxPageBytes(): number {
+    const { valueKb } = this.options.store.limits
+    return Math.min(valueKb * 1024, MAX_PAGE_BYTES) - PAGE_OVERHEAD_BYTES
   }
 
   /** Adds a job of which only the final state remains to be written. */
@@ -191,7 +194,7 @@
     // A final state is needed while a job page holds the job's record: without it, the job would
     // appear to be live.
     const isNeeded = (digits: string) => jobIndex.hasRecord(idFromDigits(digits))
-    return endsPageKeys(shard, store.limits).map((key) =>
+    return endsPageKeys(shard, store.lowestStatedLimits).map((key) =>
       neededContentOf(key, membership.replica.get(key)?.value, isNeeded),
     )
   }
@@ -200,28 +203,33 @@
     return Effect.forever(
       Effect.gen({ self: this }, function* () {
         yield* this.endsPagesGrew.wait(IDLE_WAIT_MS)
+        const unstorable = new Set<StoreKey<JobPage>>()
         for (;;) {
-          const page = this.options.mayWrite() ? this.pageToCompact() : null
+          const page = this.options.mayWrite() ? this.pageToCompact(unstorable) : null
           if (page === null) return
           const compacted = yield* Effect.result(this.options.events.compactJobPage(page))
-          if (Result.isFailure(compacted)) return
+          if (Result.isSuccess(compacted)) continue
+          // A page that no transaction can store now must not keep others from being compacted.
+          if (compacted.failure.outcome !== "rejected") return
+          unstorable.add(page)
         }
       }),
     )
   }
 
   /**
-   * Job page with the largest number of jobs that are over; null while the ends
-   * pages are filled below the threshold.
+   * Job page, other than the excluded ones, with the largest number of jobs that
+   * are over; null while the ends pages are filled below the threshold.
    */
-  private pageToCompact(): StoreKey<JobPage> | null {
+  private pageToCompact(excluded: ReadonlySet<StoreKey<JobPage>>): StoreKey<JobPage> | null {
     const contents = this.endsPageContents()
     const bytes = contents.reduce((sum, content) => sum + content.bytes, 0)
     if (bytes < COMPACTION_THRESHOLD * contents.length * this.maxPageBytes) return null
     const endedJobsByPage = new Map<StoreKey<JobPage>, number>()
     for (const digits of contents.flatMap(({ page }) => [...page.done, ...page.cancelled])) {
       const pageKey = this.options.jobIndex.pageKeyOf(idFromDigits(digits))
-      if (pageKey !== null) endedJobsByPage.set(pageKey, (endedJobsByPage.get(pageKey) ?? 0) + 1)
+      if (pageKey !== null && !excluded.has(pageKey))
+        endedJobsByPage.set(pageKey, (endedJobsByPage.get(pageKey) ?? 0) + 1)
     }
     let fullest: StoreKey<JobPage> | null = null
     for (const [pageKey, count] of endedJobsByPage) {
--- a/packages/jobs/src/job-index.ts
+++ b/packages/jobs/src/job-index.ts
@@ -101,6 +101,18 @@
     return null
   }
 
+  /**
+   * Whether each job that this index has on a page is still on a later state of the page, or known to be over.
+   * Otherwise the job may have moved to a page that only the watch delivers, and must not appear to be over
+   * until then.
+   */
+  keepsJobs({ key, value }: Entry<JobPage>): boolean {
+    const listed = new Set(value.jobs.map(({ spec }) => spec.id))
+    const isOver = (id: JobId) => this.finalStatuses.has(id) || finalStatusIn(value, id) !== null
+    const indexed = this.idsByJobPage.get(key) ?? []
+    return indexed.every((id) => listed.has(id) || isOver(id) || this.pageKeyOf(id) !== key)
+  }
+
   private applyJobPage(key: StoreKey<JobPage>, entry: Entry<JobPage> | null): void {
     const page = entry?.value ?? EMPTY_PAGE
     const previousIds = this.idsByJobPage.get(key) ?? []
@@ -114,7 +126,8 @@
     }
     const remaining = new Set(currentIds)
     for (const id of previousIds) {
-      if (remaining.has(id)) continue
+      // A job that moved to another page is indexed there already, see `Replica`.
+      if (remaining.has(id) || this.pageKeyOf(id) !== key) continue
       this.recordedJobs.delete(id)
       if (!this.finalStatuses.has(id)) this.notifyListeners(id, null)
     }
--- a/packages/jobs/src/job-pages.ts
+++ b/packages/jobs/src/job-pages.ts
@@ -79,8 +79,8 @@
 }
 
 /**
- * Moves the final states of a page to a new archive page if they exceed the
- * archive threshold; otherwise `archived` is null.
+ * Takes the final states off a page if they exceed the archive threshold;
+ * otherwise `archived` is null.
  */
 export const archiveFinalStates = (
   page: JobPage,
@@ -92,11 +92,28 @@
   if (bytes <= Math.min(ARCHIVE_THRESHOLD_BYTES, ARCHIVE_THRESHOLD_FRACTION * valueKb * 1024))
     return { page, archived: null }
   return {
-    page: { ...page, done: [], cancelled: [], archivePageCount: page.archivePageCount + 1 },
+    page: { ...page, done: [], cancelled: [] },
     archived: { done, cancelled },
   }
 }
 
+/** Divides final states into as few records as fit in values of at most `valueKb` KiB. */
+export const divideFinalStates = (states: FinalStates, valueKb: number): ReadonlyArray<FinalStates> => {
+  const maxBytes = valueKb * 1024 - ENCODING_RESERVE_BYTES
+  const records: Array<{ done: Array<string>; cancelled: Array<string> }> = []
+  let bytes = Number.POSITIVE_INFINITY
+  for (const status of ["done", "cancelled"] as const)
+    for (const digits of states[status]) {
+      bytes += finalStateBytes(digits)
+      if (bytes > maxBytes) {
+        records.push({ done: [], cancelled: [] })
+        bytes = finalStateBytes(digits)
+      }
+      records.at(-1)![status].push(digits)
+    }
+  return records
+}
+
 /** Whether the encoded page fits in a value of at most `valueKb` KiB. */
 export const fitsValue = (key: StoreKey<JobPage>, page: JobPage, valueKb: number): boolean =>
   Buffer.byteLength(JSON.stringify(encodeRecord(key, page))) <= valueKb * 1024 - ENCODING_RESERVE_BYTES
--- a/packages/jobs/src/job-state.ts
+++ b/packages/jobs/src/job-state.ts
@@ -78,8 +78,8 @@
   constructor(
     readonly id: JobId,
     record: JobRecord,
-    /** Key of the job page that holds the job's record. */
-    readonly pageKey: StoreKey<JobPage>,
+    /** Key of the job page that holds the job's record; another one after the record has moved. */
+    public pageKey: StoreKey<JobPage>,
     /** Latest known mod revision of that page. */
     public modRevision: ModRevision,
   ) {
--- a/packages/jobs/src/page-conditions.ts
+++ b/packages/jobs/src/page-conditions.ts
@@ -8,9 +8,6 @@
 import type { Condition, JobPage, StoreKey } from "@sorreltally/store"
 import type { JobState } from "./job-state.ts"
 
-/** Number of conditions that a transaction may have per operation of its limit (protocol, state service). */
-export const CONDITIONS_PER_OPERATION = 4
-
 /**
  * Conditions on the job pages that hold these jobs, at the revisions that the
  * jobs' owner last saw: the write fails if one of the jobs was cancelled since.
--- a/packages/jobs/src/placement-ledger.ts
+++ b/packages/jobs/src/placement-ledger.ts
@@ -48,6 +48,10 @@
   readonly jobsWithFinishes: Iterable<JobState>
   /** Number of jobs for which the transaction has room for a condition. */
   readonly maxJobs: number
+  /** The store's limit on a value's size. */
+  readonly valueKb: number
+  /** Whether slots may have been written under a higher limit. */
+  readonly limitsWereLowered: boolean
   /** Shard epoch under which the write is made. */
   readonly epoch: ModRevision
 }
@@ -83,17 +87,15 @@
   private scanPosition = 0
   private writeCount = 0
 
-  /** `valueKb`: the store's limit on a value's size. */
-  constructor(private readonly options: { readonly valueKb: number }) {}
-
   /** Number of slots in use. */
   get usedSlotCount(): number {
     return this.slots.size
   }
 
   /** Prepares the next write: as many starts as fit, then finishes. Null if there is nothing to write. */
-  prepareWrite({ starts, jobsWithFinishes, maxJobs, epoch }: SlotWriteRequest): SlotWrite | null {
-    const builder = new SlotBuilder(this.options.valueKb)
+  prepareWrite(request: SlotWriteRequest): SlotWrite | null {
+    const { starts, jobsWithFinishes, maxJobs, valueKb, epoch } = request
+    const builder = new SlotBuilder(valueKb)
     const jobs = addStarts(builder, starts, maxJobs)
     for (const job of jobsWithFinishes) {
       if (job.unsavedFinishes.size === 0 || job.finalized) continue
@@ -101,7 +103,7 @@
     }
     if (builder.isEmpty) return null
     this.reclaimObsoleteSlots()
-    const compacted = this.slots.size > COMPACTION_THRESHOLD_SLOTS ? this.compactOldest(builder) : []
+    const compacted = this.slots.size > COMPACTION_THRESHOLD_SLOTS ? this.compactOldest(builder, request) : []
     const { slot, modRevision } = this.freeSlots.pop() ?? {
       slot: this.nextSlot++,
       modRevision: ABSENT_KEY_REVISION,
@@ -118,6 +120,17 @@
     }
   }
 
+  /** A record without content, which replaces a slot's record in order to change its mod revision. */
+  emptyRecord(epoch: ModRevision): PlacementRecord {
+    return {
+      writeId: { epoch, number: ++this.writeCount },
+      firstAttempt: 0,
+      machines: [],
+      placed: [],
+      finished: [],
+    }
+  }
+
   /** Records that the write is durable, at this mod revision of its slot. */
   markCommitted(write: SlotWrite, modRevision: ModRevision): void {
     this.slots.set(write.slot, { modRevision, starts: write.starts, finishes: write.finishes })
@@ -150,12 +163,18 @@
   }
 
   /** Adds the content of the oldest slots that is still needed, while there is room. Returns these slots. */
-  private compactOldest(builder: SlotBuilder): ReadonlyArray<number> {
+  private compactOldest(
+    builder: SlotBuilder,
+    { valueKb, limitsWereLowered }: SlotWriteRequest,
+  ): ReadonlyArray<number> {
+    const empty = new SlotBuilder(valueKb)
     const compacted: Array<number> = []
     for (const [number, slot] of this.slots) {
       if (compacted.length >= MAX_COMPACTED_PER_WRITE) break
       const starts = slot.starts.filter(isCurrent)
       const finishes = slot.finishes.filter(({ job }) => !job.finalized)
+      // Too large for any write, it stays until its content is obsolete, and must not keep others.
+      if (limitsWereLowered && !empty.fits(starts, finishes)) continue
       if (!builder.fits(starts, finishes)) break
       for (const placement of starts) builder.addStart(placement)
       for (const { job, indexes } of finishes) builder.addFinishes(job, indexes)
--- a/packages/jobs/src/placement-writer.ts
+++ b/packages/jobs/src/placement-writer.ts
@@ -31,7 +31,7 @@
 } from "@sorreltally/store"
 import { Effect, Result } from "effect"
 import type { JobState, Placement } from "./job-state.ts"
-import { CONDITIONS_PER_OPERATION, pageConditions } from "./page-conditions.ts"
+import { pageConditions } from "./page-conditions.ts"
 import { PlacementLedger, type SlotWrite } from "./placement-ledger.ts"
 import { WritePacer } from "./write-pacer.ts"
 
@@ -87,7 +87,7 @@
 
 /** Writes one shard's placements as soon as the store has capacity, and finishes along with them. */
 export class PlacementWriter {
-  readonly ledger: PlacementLedger
+  readonly ledger = new PlacementLedger()
   private readonly pendingStarts = new Set<Placement>()
   private readonly jobsWithUnsavedFinishes = new Set<JobState>()
   private unsavedFinishesSince: MonotonicTime = EARLIEST_TIME
@@ -97,13 +97,13 @@
 
   constructor(private readonly options: PlacementWriterOptions) {
     const { store, now } = options
-    const { valueKb, writesPerSecond } = store.limits
-    this.ledger = new PlacementLedger({ valueKb })
     this.pacer = new WritePacer({
       store,
       now,
-      spacingMs: (load) =>
-        1000 / (interpolateByLoad(load, LOW_LOAD_WRITE_FRACTION, HIGH_LOAD_WRITE_FRACTION) * writesPerSecond),
+      spacingMs: (load) => {
+        const fraction = interpolateByLoad(load, LOW_LOAD_WRITE_FRACTION, HIGH_LOAD_WRITE_FRACTION)
+        return 1000 / (fraction * store.limits.writesPerSecond)
+      },
     })
   }
 
@@ -178,11 +178,13 @@
     }
     for (const job of this.jobsWithUnsavedFinishes)
       if (job.finalized || job.unsavedFinishes.size === 0) this.jobsWithUnsavedFinishes.delete(job)
-    const maxJobs = CONDITIONS_PER_OPERATION * store.limits.maxOperations - FIXED_CONDITIONS
+    const { maxConditions, valueKb } = store.limits
     return this.ledger.prepareWrite({
       starts: this.pendingStarts,
       jobsWithFinishes: this.jobsWithUnsavedFinishes,
-      maxJobs,
+      maxJobs: maxConditions - FIXED_CONDITIONS,
+      valueKb,
+      limitsWereLowered: store.limitsWereLowered(),
       epoch,
     })
   }
@@ -207,7 +209,8 @@
       const conditions = this.conditionsOf(write)
       const operations: ReadonlyArray<Operation> = [put(keys.slot(shard, write.slot), write.record)]
       const first = yield* Effect.result(store.compareAndSwap(conditions, operations, "reserved"))
-      if (Result.isFailure(first) && first.failure.outcome === "refused") {
+      if (Result.isFailure(first) && first.failure.outcome !== "unknown") {
+        // Nothing was written: the next write is prepared anew, within the present limits of the store.
         yield* Effect.sleep(RETRY_DELAY_MS)
         return this.handleAbort(write, write.baseRevision)
       }
@@ -215,11 +218,36 @@
       // While the outcome is unknown, only the identical write is sent again.
       while (!isResolved) {
         const retried = yield* Effect.result(store.compareAndSwap(conditions, operations, 2))
+        if (isRejected(retried)) return yield* this.fenceSlot(write)
         isResolved = yield* this.resolve(write, retried)
       }
     })
   }
 
+  /**
+   * Resolves a write of unknown outcome that the store rejects when it is sent again, because its limits are
+   * lower by now. The write may still have been applied, or be applied late: a small record in its slot takes
+   * away the revision on which every late copy of the write is conditioned.
+   */
+  private fenceSlot(write: SlotWrite) {
+    return Effect.gen({ self: this }, function* () {
+      const { store, shard, epoch } = this.options
+      const key = keys.slot(shard, write.slot)
+      const conditions: ReadonlyArray<Condition> = [
+        { key: keys.shard(shard), modRevision: epoch },
+        { key, modRevision: write.baseRevision },
+      ]
+      const operations: ReadonlyArray<Operation> = [put(key, this.ledger.emptyRecord(epoch))]
+      for (;;) {
+        const fenced = yield* Effect.result(store.compareAndSwap(conditions, operations, 2))
+        if (Result.isSuccess(fenced) && fenced.success.ok)
+          return this.handleAbort(write, fenced.success.revision)
+        if (yield* this.resolve(write, fenced)) return
+        yield* Effect.sleep(RETRY_DELAY_MS)
+      }
+    })
+  }
+
   /**
    * Determines the outcome of the write from the result of an attempt and the
    * content of its slot. Returns whether the outcome is known.
@@ -282,6 +310,9 @@
   }
 }
 
+const isRejected = (attempt: Result.Result<CompareAndSwapResult, StoreError>): boolean =>
+  Result.isFailure(attempt) && attempt.failure.outcome === "rejected"
+
 /** Whether the slot holds this write. Its epoch and number together identify it: no other write uses them. */
 const isSameWrite = (stored: SlotWrite["record"]["writeId"] | undefined, { record }: SlotWrite): boolean =>
   stored?.epoch === record.writeId.epoch && stored.number === record.writeId.number
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -20,8 +20,6 @@
   readonly nodes: ReadonlyArray<NodeName>
   /** A node whose replica has not been refreshed for this long stops acting. */
   readonly watchFreshMs: number
-  /** Request rate limit of the store, shared by all nodes. */
-  readonly storeRequestsPerSecond: number
 }
 
 /** Callbacks from membership to the rest of the controller. */
@@ -61,7 +59,7 @@
   private readonly ownership: ShardOwnership
 
   constructor({ settings, store, listener, now, log, fork }: MembershipOptions) {
-    const { self, nodes, watchFreshMs: maxStalenessMs, storeRequestsPerSecond } = settings
+    const { self, nodes, watchFreshMs: maxStalenessMs } = settings
     const { replica } = this
     this.store = store
     this.now = now
@@ -69,7 +67,7 @@
     this.shards = allShards(nodes)
     // The store accepts few requests, and every node has to watch. Watches and read barriers of a node are
     // each limited to one request per `spacingMs`.
-    const spacingMs = watchSpacingMs(nodes.length, storeRequestsPerSecond)
+    const spacingMs = () => watchSpacingMs(nodes.length, store.limits.requestsPerSecond)
     this.nodeLease = new NodeLease({ self, times: settings, store, now, log })
     this.watch = new ReplicaWatch({
       store,
--- a/packages/membership/src/read-barrier.ts
+++ b/packages/membership/src/read-barrier.ts
@@ -14,7 +14,7 @@
   readonly store: StoreClient
   readonly replica: Replica
   /** Minimum time between two requests to the store. */
-  readonly spacingMs: number
+  readonly spacingMs: () => number
   /** Called when the replica contains every change that was durable when the request was sent. */
   readonly onCaughtUp: (sentAt: MonotonicTime) => void
   readonly now: () => MonotonicTime
@@ -51,7 +51,7 @@
     return Effect.gen({ self: this }, function* () {
       const { spacingMs, now, onCaughtUp } = this.options
       while (this.waiters.length > 0) {
-        const pauseMs = addMs(this.lastSentAt, spacingMs) - now()
+        const pauseMs = addMs(this.lastSentAt, spacingMs()) - now()
         if (pauseMs > 0) yield* Effect.sleep(pauseMs)
         const batch = this.waiters
         this.waiters = []
--- a/packages/membership/src/replica-watch.ts
+++ b/packages/membership/src/replica-watch.ts
@@ -3,7 +3,7 @@
  * is counted from when a request was sent, never from when its response arrived.
  */
 import { addMs, EARLIEST_TIME, type MonotonicTime } from "@sorreltally/protocol"
-import { REPLICATED_KEYS, type StoreClient } from "@sorreltally/store"
+import { REPLICATED_KEYS, type StoreClient, type StoreError } from "@sorreltally/store"
 import { Effect, Result } from "effect"
 import type { Replica } from "./replica.ts"
 
@@ -21,6 +21,9 @@
 /** Upper bound of the pause between watches as a fraction of `maxStalenessMs`. */
 const MAX_PAUSE_FRACTION = 1 / 4
 const RETRY_PAUSE_MS = 200
+const TOO_MANY_REQUESTS = 429
+/** Bursts of requests may cause as many refusals in a row. */
+const REFUSALS_BEFORE_BACKOFF = 5
 
 /** The pause between two watches of one node, given the store's request rate limit for all nodes together. */
 export const watchSpacingMs = (nodeCount: number, requestsPerSecond: number): number =>
@@ -31,7 +34,7 @@
   readonly store: StoreClient
   readonly replica: Replica
   /** Pause between two watches while this node's shards have work. */
-  readonly spacingMs: number
+  readonly spacingMs: () => number
   /**
    * An owner receives cancellations through its watch, so an owner whose replica has not been refreshed for
    * this long must stop acting.
@@ -45,6 +48,8 @@
 /** Watches the replicated keys, and tracks until when the replica counts as fresh. */
 export class ReplicaWatch {
   private freshUntil: MonotonicTime = EARLIEST_TIME
+  /** Number of consecutive watches that the store refused for its request rate. */
+  private refusals = 0
 
   constructor(private readonly options: ReplicaWatchOptions) {}
 
@@ -75,7 +80,8 @@
       const watched = yield* Effect.result(
         store.watch(REPLICATED_KEYS, replica.revision, Math.floor(blockMs), Math.floor(responseTimeoutMs)),
       )
-      if (Result.isFailure(watched)) return yield* Effect.sleep(RETRY_PAUSE_MS)
+      if (Result.isFailure(watched)) return yield* Effect.sleep(this.retryPauseMs(watched.failure))
+      this.refusals = 0
       if (watched.success.kind === "compacted") return yield* this.readAll()
       replica.applyEvents(watched.success.events, watched.success.revision)
       this.markCurrentAsOf(sentAt)
@@ -85,7 +91,17 @@
   }
   private pauseMs(): number {
     const { spacingMs, maxStalenessMs, isBusy } = this.options
-    return Math.min(isBusy() ? spacingMs : IDLE_PAUSE_FACTOR * spacingMs, MAX_PAUSE_FRACTION * maxStalenessMs)
+    const idealMs = isBusy() ? spacingMs() : IDLE_PAUSE_FACTOR * spacingMs()
+    return Math.min(idealMs, MAX_PAUSE_FRACTION * maxStalenessMs)
+  }
+  /**
+   * The pause after a failed watch. It doubles while the store goes on refusing watches for its request rate:
+   * its limit is lower than the spacing of the watches assumes.
+   */
+  private retryPauseMs({ status }: StoreError): number {
+    this.refusals = status === TOO_MANY_REQUESTS ? this.refusals + 1 : 0
+    const doublings = Math.max(0, this.refusals - REFUSALS_BEFORE_BACKOFF)
+    return Math.min(2 ** doublings * RETRY_PAUSE_MS, MAX_PAUSE_FRACTION * this.options.maxStalenessMs)
   }
   private readAll() {
     return Effect.gen({ self: this }, function* () {
--- a/packages/membership/src/replica.ts
+++ b/packages/membership/src/replica.ts
@@ -56,17 +56,18 @@
   loadSnapshot(entries: ReadonlyArray<Entry>, revision: Revision): void {
     if (revision < this.revision) return
     const presentKeys = new Set(entries.map(({ key }) => key))
+    this.putNewer(entries.filter(({ key }) => this.find(key) === undefined))
     for (const family of this.families.values()) {
       for (const entry of [...family.values()]) {
         if (!presentKeys.has(entry.key) && entry.modRevision <= (revision as number)) this.delete(entry.key)
       }
     }
-    for (const entry of entries) if (this.isNewer(entry.key, entry.modRevision)) this.put(entry)
+    this.putNewer(entries)
     this.advanceTo(revision)
   }
   /** Applies the events of a watch, which comprise all changes up to a revision. */
   applyEvents(events: ReadonlyArray<WatchEvent>, revision: Revision): void {
-    for (const event of events) {
+    for (const event of this.newKeysFirst(events)) {
       // The replica contains all changes up to its revision: an event that is not newer is a duplicate.
       if (event.modRevision <= (this.revision as number)) continue
       if (!event.deleted) {
@@ -80,8 +81,12 @@
    * or below the replica's revision is ignored, because the key may have been deleted since.
    */
   applyWrite(entry: Entry): void {
-    if (entry.modRevision > (this.revision as number) && this.isNewer(entry.key, entry.modRevision))
-      this.put(entry)
+    this.applyWrites([entry])
+  }
+  /** Applies all puts of one transaction of this node, as `applyWrite` does. */
+  applyWrites(entries: ReadonlyArray<Entry>): void {
+    const isAhead = ({ modRevision }: Entry) => modRevision > (this.revision as number)
+    this.putNewer(this.newKeysFirst(entries.filter(isAhead)))
   }
   /** Applies a delete made by a transaction of this node before the watch reports it. */
   applyDelete(key: StoreKey<unknown>, modRevision: ModRevision): void {
@@ -90,6 +95,21 @@
     if (this.modRevision(key) < modRevision) this.delete(key)
   }
 
+  /**
+   * Orders changes so that those of one transaction begin with the keys that the replica lacks. A transaction
+   * may move content from a record to a new one: listeners have to see it there before it leaves the old one.
+   */
+  private newKeysFirst<E extends Entry>(changes: ReadonlyArray<E>): ReadonlyArray<E> {
+    const sharesTransaction = changes.some(
+      ({ modRevision }, i) => i > 0 && changes[i - 1]!.modRevision === modRevision,
+    )
+    if (!sharesTransaction) return changes
+    const rank = new Map(changes.map((change) => [change, this.find(change.key) === undefined ? 0 : 1]))
+    return [...changes].sort((a, b) => a.modRevision - b.modRevision || rank.get(a)! - rank.get(b)!)
+  }
+  private putNewer(entries: ReadonlyArray<Entry>): void {
+    for (const entry of entries) if (this.isNewer(entry.key, entry.modRevision)) this.put(entry)
+  }
   private isNewer(key: string, modRevision: ModRevision): boolean {
     return (
       this.modRevision(key) < modRevision && (this.tombstones.get(key) ?? ABSENT_KEY_REVISION) < modRevision
--- a/packages/peers/src/codec.ts
+++ b/packages/peers/src/codec.ts
@@ -13,7 +13,14 @@
   ShardName,
   ZoneName,
 } from "@sorreltally/protocol"
-import { decodeRecord, type Entry, encodeRecord, type StoreKey } from "@sorreltally/store"
+import {
+  decodeRecord,
+  type Entry,
+  encodeRecord,
+  type JobPage,
+  type MachineBlock,
+  type StoreKey,
+} from "@sorreltally/store"
 import type { MachineHandoff } from "@sorreltally/workers"
 import { decodeDemand, encodeDemand, type WireDemand } from "./codec-demand.ts"
 import {
@@ -47,8 +54,8 @@
   readonly reports: number
   readonly sharesReports: boolean
 }
-interface WireEntry {
-  readonly path: StoreKey<unknown>
+interface WireEntry<A = unknown> {
+  readonly path: StoreKey<A>
   readonly v: unknown
   readonly stamp: ModRevision
 }
@@ -61,7 +68,7 @@
 }
 interface WireMachineHandoffs {
   readonly part: ShardName
-  readonly block: WireEntry
+  readonly block: WireEntry<MachineBlock>
   readonly machines: ReadonlyArray<readonly [MachineId, WireHandoff]>
 }
 interface WireJobProgress {
@@ -71,12 +78,12 @@
 
 // --- codecs ---------------------------------------------------------------------
 
-const encodeEntry = ({ key, value, modRevision }: Entry): WireEntry => ({
+const encodeEntry = <A>({ key, value, modRevision }: Entry<A>): WireEntry<A> => ({
   path: key,
   v: encodeRecord(key, value),
   stamp: modRevision,
 })
-const decodeEntry = ({ path, v, stamp }: WireEntry): Entry => ({
+const decodeEntry = <A>({ path, v, stamp }: WireEntry<A>): Entry<A> => ({
   key: path,
   value: decodeRecord(path, v),
   modRevision: stamp,
@@ -174,7 +181,7 @@
     machines: body.map(([id, status, zone]) => ({ id, status, zone })),
   }),
   load: (body: WireNodeLoad) => ({ kind: "nodeLoad", load: decodeLoad(body) }),
-  job: (body: WireEntry) => ({ kind: "jobChanged", page: decodeEntry(body) }),
+  job: (body: WireEntry<JobPage>) => ({ kind: "jobChanged", page: decodeEntry(body) }),
   wants: (body: ReadonlyArray<WireDemand>) => ({ kind: "demand", demands: body.map(decodeDemand) }),
   machines: decodeHandoffs,
   counts: decodeProgress,
--- a/packages/peers/src/messages.ts
+++ b/packages/peers/src/messages.ts
@@ -13,7 +13,7 @@
   WireHeartbeatReply,
   ZoneName,
 } from "@sorreltally/protocol"
-import type { Entry, JobEnd } from "@sorreltally/store"
+import type { Entry, JobEnd, JobPage, MachineBlock } from "@sorreltally/store"
 import type { MachineHandoff, RepeatedHeartbeat } from "@sorreltally/workers"
 
 /**
@@ -116,7 +116,7 @@
 /** A job page that was written, sent so that the job's owner receives it before its watch delivers it. */
 export interface JobChangedMessage {
   readonly kind: "jobChanged"
-  readonly page: Entry
+  readonly page: Entry<JobPage>
 }
 
 /** Demand of one shard, published by its owner. */
@@ -134,7 +134,7 @@
 export interface MachineHandoffMessage {
   readonly kind: "machineHandoff"
   readonly shard: ShardName
-  readonly block: Entry
+  readonly block: Entry<MachineBlock>
   readonly machines: ReadonlyArray<{ readonly machineId: MachineId; readonly handoff: MachineHandoff }>
 }
 
--- a/packages/provisioning/src/cloud-inventory.ts
+++ b/packages/provisioning/src/cloud-inventory.ts
@@ -203,7 +203,8 @@
         const stored = yield* Effect.result(
           this.options.store.compareAndSwap(conditions, [put(keys.catalog, record)], 3),
         )
-        this.isCatalogStored = Result.isSuccess(stored)
+        // A catalog that the store rejects would be rejected again: nodes then need the cloud to start.
+        this.isCatalogStored = Result.isSuccess(stored) || stored.failure.outcome === "rejected"
       }
     })
   }
--- a/packages/provisioning/src/machine-additions.ts
+++ b/packages/provisioning/src/machine-additions.ts
@@ -147,6 +147,15 @@
   return { conditions, key, block: { machineType, zone, spot, rentedAt, machines: groupByShard(machines) } }
 }
 
+/**
+ * Number of conditions of an adoption into a pool: it grows with the number of shards, so that it may exceed
+ * what one transaction may have.
+ */
+export const countAdoptionConditions = (
+  pool: CapacityPool,
+  options: Omit<AdditionOptions, "maxMachines">,
+): number => seriesConditions({ ...pool, adopted: true }, options).length + 1
+
 /**
  * Conditions that keep a machine from being recorded in two blocks. Every addition requires that this node
  * owns the shard under the given epoch. An adoption also requires that the latest block of every shard's
@@ -154,8 +163,8 @@
  * that the replica doesn't show.
  */
 const seriesConditions = (
-  pool: PendingAddition,
-  { shard, epoch, shards, machineIndex, replica }: AdditionOptions,
+  pool: CapacityPool & { readonly adopted: boolean },
+  { shard, epoch, shards, machineIndex, replica }: Omit<AdditionOptions, "maxMachines">,
 ): ReadonlyArray<Condition> => {
   const conditions: Array<Condition> = [{ key: keys.shard(shard), modRevision: epoch }]
   for (const prefix of pool.adopted ? shards : ([ADOPTED_SERIES_PREFIX] as const)) {
--- a/packages/provisioning/src/machine-edits.ts
+++ b/packages/provisioning/src/machine-edits.ts
@@ -3,7 +3,13 @@
  * Only builds the transaction, from the replica; `MachineRecordWriter` sends it.
  */
 import type { Replica } from "@sorreltally/membership"
-import type { FencingToken, MachineId, ModRevision, ShardName } from "@sorreltally/protocol"
+import {
+  ABSENT_KEY_REVISION,
+  type FencingToken,
+  type MachineId,
+  type ModRevision,
+  type ShardName,
+} from "@sorreltally/protocol"
 import {
   type BlockMachine,
   type Condition,
@@ -16,6 +22,8 @@
   type StoreKey,
 } from "@sorreltally/store"
 import type { MachineEntry } from "@sorreltally/workers"
+import { divideBlock } from "./block-layout.ts"
+import { ADOPTED_SERIES_PREFIX, blockSeries } from "./codec-block-series.ts"
 import type { MachineIndex } from "./machine-index.ts"
 
 /** A change of one machine's record. */
@@ -63,8 +71,10 @@
   readonly epoch: ModRevision
   readonly machineIndex: MachineIndex
   readonly replica: Replica
-  /** Maximum number of blocks in the transaction: the write capacity awaited before covers no more. */
-  readonly maxBlocks: number
+  /** Maximum number of operations of the transaction: the write capacity awaited before covers no more. */
+  readonly maxOperations: number
+  /** The store's limit on a value's size, in KiB. */
+  readonly valueKb: number
 }
 
 interface EditedBlock {
@@ -73,10 +83,23 @@
   readonly modRevision: ModRevision
   readonly machines: Map<MachineId, BlockMachine>
 }
+/** Conditions and operations of a transaction. */
+interface BlockTransaction {
+  readonly conditions: ReadonlyArray<Condition>
+  readonly operations: ReadonlyArray<Operation>
+}
+
+/** Number of operations that rewrite a block: more than one if it is larger than a value may be. */
+export const countBlockOperations = (
+  key: StoreKey<MachineBlock>,
+  block: MachineBlock,
+  valueKb: number,
+): number => divideBlock(key, block, valueKb).length
 
 /** Collects changes of machine records, grouped by block, for one transaction. */
 export class BlockEdits {
   private readonly blocks = new Map<StoreKey<MachineBlock>, EditedBlock>()
+  private operationCount = 0
 
   constructor(private readonly options: BlockEditsOptions) {}
 
@@ -102,11 +125,13 @@
   private blockOf({ block: key }: MachineEntry): EditedBlock | null {
     const collected = this.blocks.get(key)
     if (collected !== undefined) return collected
-    const { replica, maxBlocks } = this.options
-    if (this.blocks.size >= maxBlocks) return null
+    const { replica, maxOperations, valueKb } = this.options
     const entry = replica.get(key)
     if (entry === null) return null
     const { value: block, modRevision } = entry
+    const operations = countBlockOperations(key, block, valueKb)
+    if (this.operationCount + operations > maxOperations) return null
+    this.operationCount += operations
     const machines = new Map(block.machines.map((machine) => [machine.machineId, machine]))
     const edited = { key, block, modRevision, machines }
     this.blocks.set(key, edited)
@@ -116,19 +141,37 @@
   /**
    * The transaction requires that this node owns the shard under its epoch, and that each block is at the
    * revision that was read. So a late copy of it, or a transaction of an earlier owner, changes nothing.
+   * Machines of a block that is larger than a value may be move to new blocks of the series of adopted
+   * machines, which any shard may write: each rental is conditioned on that series. The new blocks come first,
+   * so that a replica which applies the operations in order always has each machine on record.
    */
-  transaction(): {
-    readonly conditions: ReadonlyArray<Condition>
-    readonly operations: ReadonlyArray<Operation>
-  } {
-    const { shard, epoch, machineIndex } = this.options
+  transaction(): BlockTransaction {
+    const { shard, epoch, machineIndex, valueKb } = this.options
     const conditions: Array<Condition> = [{ key: keys.shard(shard), modRevision: epoch }]
     const operations: Array<Operation> = []
+    const newBlocks = new Map<string, number>()
     for (const { key, block, modRevision, machines } of this.blocks.values()) {
       conditions.push({ key, modRevision })
-      if (machines.size === 0 && !machineIndex.isLatest(key)) operations.push(remove(key))
-      else operations.push(put(key, { ...block, machines: groupByShard(machines.values()) }))
+      if (machines.size === 0 && !machineIndex.isLatest(key)) {
+        operations.push(remove(key))
+        continue
+      }
+      const edited = { ...block, machines: groupByShard(machines.values()) }
+      const [kept, ...moved] = divideBlock(key, edited, valueKb)
+      for (const part of moved) {
+        const newKey = this.newBlock(part, newBlocks)
+        conditions.push({ key: newKey, modRevision: ABSENT_KEY_REVISION })
+        operations.push(put(newKey, part))
+      }
+      operations.push(put(key, kept!))
     }
     return { conditions, operations }
   }
+  /** Key of a new block; `newBlocks` counts those of this transaction by series. */
+  private newBlock(block: MachineBlock, newBlocks: Map<string, number>): StoreKey<MachineBlock> {
+    const series = blockSeries(ADOPTED_SERIES_PREFIX, block)
+    const count = newBlocks.get(series) ?? 0
+    newBlocks.set(series, count + 1)
+    return this.options.machineIndex.nextBlock(series, count)
+  }
 }
--- a/packages/provisioning/src/machine-index.ts
+++ b/packages/provisioning/src/machine-index.ts
@@ -62,9 +62,12 @@
     this.listeners.add(listener)
     return () => this.listeners.delete(listener)
   }
-  /** The key of the next block of a series; absent in the store unless another node wrote it first. */
-  nextBlock(series: string): StoreKey<MachineBlock> {
-    return keys.machineBlock(series, (this.latestNumbers.get(series) ?? 0) + 1)
+  /**
+   * The key of the next block of a series, or of a later one: `skipped` blocks after the next. It is absent in
+   * the store unless another node wrote it first.
+   */
+  nextBlock(series: string, skipped = 0): StoreKey<MachineBlock> {
+    return keys.machineBlock(series, (this.latestNumbers.get(series) ?? 0) + 1 + skipped)
   }
   /** The latest block of a series, and its number of machines; null: the series has no block yet. */
   latestBlock(
@@ -83,6 +86,15 @@
     const { series, number } = parseBlockKey(key)
     return number >= (this.latestNumbers.get(series) ?? 0)
   }
+  /**
+   * Whether a later state of a block still lists all machines that this index has in it. Otherwise they may
+   * have moved to a block that only the watch delivers, and must not appear to be removed until then.
+   */
+  keepsMachines({ key, value }: Entry<MachineBlock>): boolean {
+    const listed = new Set(value.machines.map(({ machineId }) => machineId))
+    const indexed = this.machinesOfBlock.get(key) ?? []
+    return indexed.every((id) => listed.has(id) || this.machines.get(id)?.block !== key)
+  }
   private blockChanged(key: StoreKey<MachineBlock>, entry: Entry<MachineBlock> | null): void {
     const { series, number } = parseBlockKey(key)
     this.latestNumbers.set(series, Math.max(number, this.latestNumbers.get(series) ?? 0))
@@ -100,7 +112,11 @@
     for (const { machineId: id, shard, token, rentedAfterS } of machines) {
       currentIds.push(id)
       const previous = this.machines.get(id)
-      if (previous !== undefined && previous.shard === shard && previous.token === token) continue
+      if (previous?.shard === shard && previous.token === token) {
+        // Moved from another block without a change of the machine: nothing to report.
+        if (previous.block !== key) this.machines.set(id, { ...previous, block: key })
+        continue
+      }
       const rented = (rentedAt + 1000 * rentedAfterS) as WallTime
       this.put({ id, block: key, shard, token, machineType, zone, spot, rentedAt: rented }, previous)
     }
--- a/packages/provisioning/src/machine-records.ts
+++ b/packages/provisioning/src/machine-records.ts
@@ -5,11 +5,13 @@
  */
 import { Signal } from "@sorreltally/concurrency"
 import type { Membership } from "@sorreltally/membership"
-import type { FencingToken, MachineId, ModRevision, ShardName } from "@sorreltally/protocol"
+import type { FencingToken, Log, MachineId, ModRevision, ShardName } from "@sorreltally/protocol"
 import { type MachineBlock, type Operation, put, type StoreClient, type StoreKey } from "@sorreltally/store"
 import type { MachineEntry } from "@sorreltally/workers"
 import { Effect, Result } from "effect"
+import type { CapacityPool } from "./codec-block-series.ts"
 import {
+  countAdoptionConditions,
   divideAddition,
   maxBlockMachines,
   type NewMachines,
@@ -18,6 +20,7 @@
 } from "./machine-additions.ts"
 import {
   BlockEdits,
+  countBlockOperations,
   type EditOutcome,
   editOutcome,
   type MachineEdit,
@@ -46,6 +49,7 @@
   readonly now: () => number
   /** Whether this node may still act for the shard. */
   readonly mayAct: () => boolean
+  readonly log: Log
 }
 
 /**
@@ -57,6 +61,7 @@
   private additions: ReadonlyArray<PendingAddition> = []
   private readonly signal = new Signal()
   private lastRemovalAt = Number.NEGATIVE_INFINITY
+  private readonly unstorableBlocks = new Set<StoreKey<MachineBlock>>()
 
   constructor(private readonly options: MachineRecordWriterOptions) {}
 
@@ -87,6 +92,13 @@
     this.signal.notify()
   }
 
+  /** Whether one transaction can have the conditions of an adoption into the pool. */
+  canAdopt(pool: CapacityPool): boolean {
+    const { store, membership } = this.options
+    const conditions = countAdoptionConditions(pool, { ...this.options, replica: membership.replica })
+    return conditions <= store.limits.maxConditions
+  }
+
   /** Writes pending changes while this node may act for the shard, until it is interrupted. */
   readonly run: Effect.Effect<never> = Effect.suspend(() =>
     Effect.forever(
@@ -124,12 +136,17 @@
     return Effect.gen({ self: this }, function* () {
       const { store, membership } = this.options
       yield* store.awaitWriteCapacity(1, 1)
-      const [first] = this.additions
-      if (first === undefined) return
       const { replica } = membership
       const maxMachines = maxBlockMachines(store.limits.valueKb)
+      // The limit may have been lowered since the additions were requested.
+      this.additions = this.additions.flatMap((addition) =>
+        divideAddition(addition, addition.adopted, addition.onSettled, maxMachines),
+      )
+      const [first] = this.additions
+      if (first === undefined) return
       const { batch, write } = planAddition(first, this.additions, { ...this.options, replica, maxMachines })
-      if (write !== null) {
+      // An adoption that needs too many conditions must not hold up other additions; see `canAdopt`.
+      if (write !== null && write.conditions.length <= store.limits.maxConditions) {
         const { conditions, key, block } = write
         const swap = yield* Effect.result(store.compareAndSwap(conditions, [put(key, block)], "reserved"))
         if (Result.isFailure(swap) || !swap.success.ok) return yield* this.catchUp()
@@ -144,27 +161,42 @@
     return Effect.gen({ self: this }, function* () {
       const { store, membership, now } = this.options
       const isUrgent = this.hasUrgentEdits
-      const maxBlocks = this.countEditedBlocks()
-      yield* store.awaitWriteCapacity(Math.max(1, maxBlocks), isUrgent ? 2 : 3)
+      const maxOperations = this.countOperations()
+      yield* store.awaitWriteCapacity(Math.max(1, maxOperations), isUrgent ? 2 : 3)
       if (!isUrgent) this.lastRemovalAt = now()
-      const blocks = new BlockEdits({ ...this.options, replica: membership.replica, maxBlocks })
+      const { replica } = membership
+      const { valueKb } = store.limits
+      const blocks = new BlockEdits({ ...this.options, replica, maxOperations, valueKb })
       const written = this.collectEdits(blocks)
-      if (blocks.isEmpty) return
+      if (blocks.isEmpty) return this.edits.size === 0 ? undefined : yield* this.catchUp()
       const { conditions, operations } = blocks.transaction()
       const swap = yield* Effect.result(store.compareAndSwap(conditions, operations, "reserved"))
       if (Result.isFailure(swap) || !swap.success.ok) return yield* this.catchUp()
       this.settleWritten(written, operations, swap.success.revision)
     })
   }
-  /** Number of blocks that the pending edits change, up to the limit of one transaction. */
-  private countEditedBlocks(): number {
-    const { machineIndex, store } = this.options
+  /** Number of operations that the pending edits take, up to the limit of one transaction. */
+  private countOperations(): number {
+    const { machineIndex, store, membership } = this.options
+    const { maxWrites, valueKb } = store.limits
     const blocks = new Set<StoreKey<MachineBlock>>()
+    let operations = 0
     for (const id of this.edits.keys()) {
-      const block = machineIndex.get(id)?.block
-      if (block !== undefined && blocks.size < store.limits.maxOperations) blocks.add(block)
+      const key = machineIndex.get(id)?.block
+      const entry = key === undefined || blocks.has(key) ? null : membership.replica.get(key)
+      if (entry === null) continue
+      blocks.add(entry.key)
+      const count = countBlockOperations(entry.key, entry.value, valueKb)
+      if (count > maxWrites) this.reportUnstorable(entry.key, count)
+      else if (operations + count <= maxWrites) operations += count
     }
-    return blocks.size
+    return operations
+  }
+  /** Reports, once, a block that no transaction can rewrite: its machines' changes stay pending. */
+  private reportUnstorable(block: StoreKey<MachineBlock>, operations: number): void {
+    if (this.unstorableBlocks.has(block)) return
+    this.unstorableBlocks.add(block)
+    this.options.log.error("machine block too large for the store's limits", { block, operations })
   }
   /** Settles edits that are no longer open, and adds open ones to `blocks`; returns those that were added. */
   private collectEdits(blocks: BlockEdits): ReadonlyArray<readonly [MachineId, PendingEdit]> {
--- a/packages/rate-limit/src/shared-rate-limit.ts
+++ b/packages/rate-limit/src/shared-rate-limit.ts
@@ -5,6 +5,7 @@
  */
 import { addMs, type MonotonicTime } from "@sorreltally/protocol"
 import { Effect } from "effect"
+import { ContradictingRejections } from "./contradicting-rejections.ts"
 
 /**
  * Priority of a request: lower numbers leave the queue first. Callers define what each number is used for.
@@ -81,9 +82,9 @@
  * lowered when the service rejects one with 429.
  */
 export class SharedRateLimit {
-  private readonly limit: number
+  private limit: number
   private readonly nodeCount: number
-  private readonly burst: number
+  private burst: number
   private readonly now: () => MonotonicTime
   private rate: number
   private tokens: number
@@ -93,6 +94,7 @@
   private usageAt: MonotonicTime
   private peerUsagePerSecond = 0
   private readonly waiting: Array<WaitingRequest> = []
+  private readonly contradictions = new ContradictingRejections()
 
   constructor({ limit, nodeCount, burst, now }: SharedRateLimitOptions) {
     this.limit = limit
@@ -132,8 +134,11 @@
     this.decayUsage(this.now())
     this.usagePerSecond += (1000 * cost) / USAGE_WINDOW_MS
   }
+  private usageAfterDecay(now: MonotonicTime): number {
+    return this.usagePerSecond * Math.exp(-(now - this.usageAt) / USAGE_WINDOW_MS)
+  }
   private decayUsage(now: MonotonicTime): void {
-    this.usagePerSecond *= Math.exp(-(now - this.usageAt) / USAGE_WINDOW_MS)
+    this.usagePerSecond = this.usageAfterDecay(now)
     this.usageAt = now
   }
 
@@ -169,14 +174,26 @@
 
   /**
    * Lowers the rate after the service rejected a request with 429: other nodes use more than they reported.
+   * Returns whether the service must be enforcing a lower limit than the one given.
    */
-  recordRejection(): void {
+  recordRejection(): boolean {
     const now = this.now()
     this.refill(now)
     this.tokens = Math.min(this.tokens, 0)
-    if (now < addMs(this.rejectedAt, REJECTION_COALESCING_MS)) return
+    if (now < addMs(this.rejectedAt, REJECTION_COALESCING_MS)) return false
     this.rejectedAt = now
     this.rate = Math.max((MIN_EVEN_SHARE * this.limit) / this.nodeCount, this.rate * RATE_DECREASE)
+    const load = (this.usageAfterDecay(now) + this.peerUsagePerSecond) / this.limit
+    return this.contradictions.record(now, load)
+  }
+
+  /** Replaces the limit and the capacity of the token bucket, after the service has lowered its limit. */
+  setLimit(limit: number, burst: number): void {
+    this.refill(this.now())
+    this.limit = limit
+    this.burst = burst
+    this.rate = Math.min(this.rate, this.maxRate)
+    this.tokens = Math.min(this.burst, this.tokens)
   }
 
   private pauseMs(request: WaitingRequest): number {
--- a/packages/rate-limit/test/shared-rate-limit.test.ts
+++ b/packages/rate-limit/test/shared-rate-limit.test.ts
@@ -2,6 +2,7 @@
 import { test } from "node:test"
 import { Effect } from "effect"
 import { TestClock } from "effect/testing"
+import type { SharedRateLimit } from "../src/shared-rate-limit.ts"
 import {
   BURST_REQUESTS,
   RECHECK_MS,
@@ -51,3 +52,39 @@
       assert.equal(sent.count, 1)
     }),
   ))
+
+/** Records a rejection every half second, for the given time; returns whether one disproved the limit. */
+const rejectFor = (rateLimit: SharedRateLimit, seconds: number) =>
+  Effect.gen(function* () {
+    let isDisproved = false
+    for (let i = 0; i < 2 * seconds; i++) {
+      yield* TestClock.adjust(500)
+      if (rateLimit.recordRejection()) isDisproved = true
+    }
+    return isDisproved
+  })
+
+test("rejections disprove the limit only if they go on while the nodes use much less than it", () =>
+  runOnTestClock(
+    Effect.gen(function* () {
+      const { rateLimit } = yield* rateLimitOnTestClock
+      assert.equal(yield* rejectFor(rateLimit, 3), false)
+      yield* TestClock.adjust(10_000)
+      rateLimit.setPeerUsage(9)
+      assert.equal(yield* rejectFor(rateLimit, 20), false)
+      rateLimit.setPeerUsage(2)
+      assert.equal(yield* rejectFor(rateLimit, 6), true)
+    }),
+  ))
+
+test("a lower limit applies at once", () =>
+  runOnTestClock(
+    Effect.gen(function* () {
+      const { rateLimit, sent, sendRequests } = yield* rateLimitOnTestClock
+      rateLimit.setLimit(1, 1)
+      yield* sendRequests(3, 2)
+      assert.equal(sent.count, 1)
+      yield* TestClock.adjust(1_000 / 0.92 + RECHECK_MS)
+      assert.equal(sent.count, 2)
+    }),
+  ))
--- a/packages/settings/src/codec.ts
+++ b/packages/settings/src/codec.ts
@@ -4,7 +4,7 @@
  */
 import { Address, NodeName, NonNegative, Positive, TeamName, ZoneName } from "@sorreltally/protocol"
 import { Schema } from "effect"
-import type { Objective, Platform } from "./platform.ts"
+import type { Objective, Platform, StoreLimitSettings, StoreSettings } from "./platform.ts"
 import { NO_LIMIT, type Team } from "./teams.ts"
 
 const optionalAmount = Schema.optionalKey(Schema.NullOr(NonNegative))
@@ -28,6 +28,30 @@
 })
 type WireObjective = typeof WireObjective.Type
 
+const WireStoreLimits = Schema.Struct({
+  rps: Positive,
+  write_rps: Positive,
+  value_kb: Positive,
+  txn_ops: Positive,
+})
+type WireStoreLimits = typeof WireStoreLimits.Type
+
+const optionalLimit = Schema.optionalKey(Schema.NullOr(Positive))
+/** Announced limits of the store. One that is null or absent stays as it is. */
+const WireNextStoreLimits = Schema.Struct({
+  rps: optionalLimit,
+  write_rps: optionalLimit,
+  value_kb: optionalLimit,
+  txn_ops: optionalLimit,
+})
+type WireNextStoreLimits = typeof WireNextStoreLimits.Type
+
+const WireStore = Schema.Struct({
+  ...WireStoreLimits.fields,
+  next: Schema.optionalKey(Schema.NullOr(WireNextStoreLimits)),
+})
+type WireStore = typeof WireStore.Type
+
 /** Schema of the file. Fields not listed here are ignored. */
 export const WirePlatform = Schema.Struct({
   node_name: NodeName,
@@ -41,7 +65,7 @@
     teams: Schema.Array(WireTeam),
     objectives: Schema.Array(WireObjective),
     workers: Schema.Struct({ report_s: Positive, lease_s: Positive, cancel_s: Positive }),
-    state: Schema.Struct({ rps: Positive, write_rps: Positive, value_kb: Positive, txn_ops: Positive }),
+    state: WireStore,
     cloud: Schema.Struct({ rps: Positive, list_lag_s: NonNegative }),
     machine_limits: Schema.Struct({ cores: Positive, mem_mb: Positive, fd_limit: Positive }),
     time_bound_ms: NonNegative,
@@ -70,6 +94,23 @@
   deadlineMultiple: wire.times ?? null,
 })
 
+const storeLimitsFromWire = ({ rps, write_rps, value_kb, txn_ops }: WireStoreLimits): StoreLimitSettings => ({
+  requestsPerSecond: rps,
+  writesPerSecond: write_rps,
+  valueKb: value_kb,
+  maxOperations: txn_ops,
+})
+const withNextLimits = (now: WireStoreLimits, next: WireNextStoreLimits): WireStoreLimits => ({
+  rps: next.rps ?? now.rps,
+  write_rps: next.write_rps ?? now.write_rps,
+  value_kb: next.value_kb ?? now.value_kb,
+  txn_ops: next.txn_ops ?? now.txn_ops,
+})
+const storeFromWire = ({ next, ...now }: WireStore): StoreSettings => ({
+  ...storeLimitsFromWire(now),
+  announced: next == null ? null : storeLimitsFromWire(withNextLimits(now, next)),
+})
+
 /** Converts the decoded file to the platform's settings. */
 export const platformFromWire = ({ facts, ...wire }: WirePlatform): Platform => ({
   nodeName: wire.node_name,
@@ -91,12 +132,7 @@
       leaseS: facts.workers.lease_s,
       cancellationLimitS: facts.workers.cancel_s,
     },
-    store: {
-      requestsPerSecond: facts.state.rps,
-      writesPerSecond: facts.state.write_rps,
-      valueKb: facts.state.value_kb,
-      maxOperations: facts.state.txn_ops,
-    },
+    store: storeFromWire(facts.state),
     cloud: { requestsPerSecond: facts.cloud.rps, listLagS: facts.cloud.list_lag_s },
     machineLimits: {
       cores: facts.machine_limits.cores,
--- a/packages/settings/src/platform.ts
+++ b/packages/settings/src/platform.ts
@@ -28,7 +28,7 @@
   readonly cancellationLimitS: number
 }
 /** Limits of the store. */
-export interface StoreSettings {
+export interface StoreLimitSettings {
   /** Total for all controllers. */
   readonly requestsPerSecond: number
   /** Total for all controllers. */
@@ -38,6 +38,11 @@
   /** Maximum number of operations in one transaction. */
   readonly maxOperations: number
 }
+/** Limits of the store when a controller starts, and later ones. */
+export interface StoreSettings extends StoreLimitSettings {
+  /** Limits that the store will have from some moment on, without further notice; null: none announced. */
+  readonly announced: StoreLimitSettings | null
+}
 /** Limits of the cloud. */
 export interface CloudSettings {
   /** Total for all controllers. */
--- a/packages/settings/test/settings.test.ts
+++ b/packages/settings/test/settings.test.ts
@@ -34,6 +34,19 @@
     assert.equal(check(tight), "accepted")
   })
 
+  it("may announce lower limits of the store, and limits that aren't announced stay", () => {
+    const { state } = platformFile.facts
+    const announcedBy = (next: unknown) => {
+      const parsed = parsePlatform(JSON.stringify(withFacts({ state: { ...state, next } })), "s.json")
+      return Result.isSuccess(parsed) ? parsed.success.deployment.store.announced : parsed.failure.message
+    }
+    const announced = { requestsPerSecond: 1, writesPerSecond: 1, valueKb: 2, maxOperations: 3 }
+    assert.deepEqual(announcedBy({ value_kb: 2, txn_ops: 3, rps: null }), announced)
+    assert.equal(announcedBy(undefined), null)
+    assert.equal(announcedBy(null), null)
+    assert.match(String(announcedBy({ txn_ops: 0 })), /facts\.state\.next\.txn_ops/)
+  })
+
   // Guards against refusing every job of a team whose limit is 0, which means that it has no limit.
   it("treat a team's limit that is 0, null or absent as no limit, and an absent guarantee as none", () => {
     const teams = [
--- a/packages/shard/src/job-registry.ts
+++ b/packages/shard/src/job-registry.ts
@@ -136,7 +136,10 @@
       this.events.requestPlan()
       return
     }
-    if (modRevision > existing.modRevision) existing.modRevision = modRevision
+    if (modRevision > existing.modRevision) {
+      existing.pageKey = pageKey
+      existing.modRevision = modRevision
+    }
     if (record.cancelled && !existing.cancelled) this.cancel(existing)
   }
 
--- a/packages/shard/src/machine-adoption.ts
+++ b/packages/shard/src/machine-adoption.ts
@@ -7,6 +7,7 @@
 import type { ListedMachine, MachineId } from "@sorreltally/protocol"
 import { ADOPTED_SERIES_PREFIX, blockSeries, type MachineRecordWriter } from "@sorreltally/provisioning"
 import { Effect, Result } from "effect"
+import { MAX_MACHINES_PER_RELEASE } from "./machine-release.ts"
 import type { ShardView } from "./shard-context.ts"
 
 /**
@@ -33,18 +34,36 @@
       // A record may have been written that the replica doesn't contain yet.
       const barrierResult = yield* Effect.result(membership.readBarrier.wait)
       if (Result.isFailure(barrierResult)) return
-      const groups = new Map<string, Array<ListedMachine>>()
-      for (const machine of inventory.lastOwnList) {
-        if (!this.isAdoptable(machine)) continue
-        const series = blockSeries(ADOPTED_SERIES_PREFIX, machine)
-        const group = groups.get(series)
-        if (group === undefined) groups.set(series, [machine])
-        else group.push(machine)
+      for (const group of this.adoptableBySeries()) {
+        if (this.machineRecords.canAdopt(group[0]!)) this.recordGroup(group)
+        else yield* this.returnGroup(group)
       }
-      for (const group of groups.values()) this.recordGroup(group)
     }),
   )
 
+  /**
+   * Deletes machines that can't be adopted because of the store's limits, so that they don't cost for nothing;
+   * a later round repeats a deletion that failed.
+   */
+  private returnGroup(group: ReadonlyArray<ListedMachine>): Effect.Effect<void> {
+    const { cloud, log } = this.shard.node
+    const ids = group.slice(0, MAX_MACHINES_PER_RELEASE).map((machine) => machine.id)
+    log.info("machines returned: the store's limits don't allow their adoption", { machines: ids })
+    return Effect.ignore(cloud.remove(ids))
+  }
+
+  private adoptableBySeries(): Iterable<ReadonlyArray<ListedMachine>> {
+    const groups = new Map<string, Array<ListedMachine>>()
+    for (const machine of this.shard.node.inventory.lastOwnList) {
+      if (!this.isAdoptable(machine)) continue
+      const series = blockSeries(ADOPTED_SERIES_PREFIX, machine)
+      const group = groups.get(series)
+      if (group === undefined) groups.set(series, [machine])
+      else group.push(machine)
+    }
+    return groups.values()
+  }
+
   private isAdoptable(machine: ListedMachine): boolean {
     const { machineIndex } = this.shard.node
     return (
--- a/packages/shard/src/machine-release.ts
+++ b/packages/shard/src/machine-release.ts
@@ -7,7 +7,7 @@
 import type { ShardView } from "./shard-context.ts"
 
 /** Maximum machines that the cloud deletes in one request. */
-const MAX_MACHINES_PER_RELEASE = 100
+export const MAX_MACHINES_PER_RELEASE = 100
 const MAX_SIGNAL_WAIT_MS = 1_000
 /** Pause of the loop while there is nothing to release, or the shard may not act. */
 const IDLE_PAUSE_MS = 100
--- a/packages/shard/src/shard-controller.ts
+++ b/packages/shard/src/shard-controller.ts
@@ -207,7 +207,7 @@
   // The components below depend on one another, so their callbacks read the other fields only when called.
 
   private makeMachineRecords(): MachineRecordWriter {
-    const { store, membership, machineIndex, clocks } = this.node
+    const { store, membership, machineIndex, clocks, log } = this.node
     return new MachineRecordWriter({
       shard: this.name,
       epoch: this.epoch,
@@ -217,6 +217,7 @@
       machineIndex,
       now: clocks.monotonicNow,
       mayAct: () => this.mayAct,
+      log,
     })
   }
 
--- a/packages/store/src/client.ts
+++ b/packages/store/src/client.ts
@@ -6,18 +6,10 @@
 import type { RequestPriority } from "@sorreltally/rate-limit"
 import type { Effect } from "effect"
 import type { StoreError } from "./errors.ts"
+import type { StoreLimits } from "./limits.ts"
 import type { CompareAndSwapResult, Condition, Entry, Operation, WatchResult } from "./model.ts"
 import type { KeyFamily, StoreKey } from "./records/keys.ts"
 
-/** Limits of the store, shared by all controllers. */
-export interface StoreLimits {
-  readonly writesPerSecond: number
-  /** Largest size of one stored value in KiB. */
-  readonly valueKb: number
-  /** Largest number of operations in one transaction. */
-  readonly maxOperations: number
-}
-
 /** Client of the store. */
 export interface StoreClient {
   /** Returns the entry of a key, or null if the key doesn't exist. */
@@ -27,7 +19,8 @@
     family: KeyFamily<A>,
   ) => Effect.Effect<{ readonly items: ReadonlyArray<Entry<A>>; readonly revision: Revision }, StoreError>
   /**
-   * Applies all operations, or none. Priority 0: leases and shards; 1: users and rentals; 2: placements and
+   * Applies all operations, or none. Fails with outcome "rejected" if the transaction exceeds the limits: it
+   * has to be built anew within the present `limits`. Priority 0: leases and shards; 1: users and rentals; 2: placements and
    * final states; 3: cleanup; "reserved": the caller has awaited the write capacity with
    * `awaitWriteCapacity`.
    */
@@ -57,8 +50,15 @@
     blockMs: number,
     responseTimeoutMs?: number,
   ) => Effect.Effect<WatchResult, StoreError>
-  /** Limits from the settings. */
+  /**
+   * Limits that the store is assumed to enforce now; the same object until they are lowered. To be read anew
+   * for each request, since a transaction that exceeds them is rejected without being sent.
+   */
   readonly limits: StoreLimits
+  /** Whether the limits have been lowered since this process started. */
+  readonly limitsWereLowered: () => boolean
+  /** The lowest limits that the settings state or announce: constant, and the same on every node. */
+  readonly lowestStatedLimits: StoreLimits
   /** Recent writes per second by this node. */
   readonly writeRate: () => number
   /** Sets the writes per second that all other nodes together report. */
--- a/packages/store/src/codec.ts
+++ b/packages/store/src/codec.ts
@@ -84,7 +84,8 @@
 }
 
 type WireCondition = { readonly path: StoreKey<unknown>; readonly stamp: ModRevision }
-type WireOperation =
+/** An encoded put or delete. */
+export type WireOperation =
   | { readonly set: StoreKey<unknown>; readonly v: unknown; readonly permit?: LeaseId }
   | { readonly delete: StoreKey<unknown> }
 /** An encoded transaction. */
@@ -121,6 +122,8 @@
 /** Decodes the response to the request for a lease. */
 export const decodeLease = (body: unknown): LeaseId => (body as { readonly permit: LeaseId }).permit
 
+/** Reason that the store gives for refusing a put whose lease has expired. */
+export const LEASE_EXPIRED = "no such lease"
 /** Returns the reason that the store gives for a refusal; empty if it gives none. */
 export const decodeRefusal = (body: unknown): string => {
   const { error } = (body ?? {}) as { readonly error?: unknown }
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -1,5 +1,6 @@
 export * from "./client.ts"
 export * from "./errors.ts"
+export * from "./limits.ts"
 export * from "./make-client.ts"
 export * from "./model.ts"
 export * from "./records/index.ts"
--- a/packages/store/src/requests.ts
+++ b/packages/store/src/requests.ts
@@ -1,52 +1,36 @@
 /**
- * One function for each request to the store, which sends it and interprets the status of the response. Only
- * transactions are retried, and only after status 429, which means that the transaction was not applied.
+ * One function for each request to the store but transactions, which sends it and interprets the status of the
+ * response. None of these requests is retried.
  */
 import type {
   Address,
   HttpClient,
   HttpRequest,
   HttpResponse,
-  Log,
   NoResponseError,
   Revision,
 } from "@sorreltally/protocol"
-import type { RequestPriority, SharedRateLimit } from "@sorreltally/rate-limit"
-import { Effect, Metric } from "effect"
+import { Effect } from "effect"
 import type { StoreClient } from "./client.ts"
 import {
-  decodeCommit,
-  decodeConflict,
   decodeEntry,
   decodeEvents,
   decodeLease,
   decodePage,
-  decodeRefusal,
   type EntryPage,
   encodeLeaseRequest,
-  encodeTransaction,
   paths,
-  type WireTransaction,
 } from "./codec.ts"
 import { StoreError, type StoreOperation } from "./errors.ts"
-import { rateLimitedTransactions, rejectedTransactions } from "./metrics.ts"
-import type { CompareAndSwapResult, Entry, WatchResult } from "./model.ts"
+import type { Entry, WatchResult } from "./model.ts"
 import type { KeyFamily, StoreKey } from "./records/keys.ts"
-import { measureTransaction } from "./transaction-size.ts"
 
 const REQUEST_TIMEOUT_MS = 1_500
-const BAD_REQUEST = 400
-const TOO_MANY_REQUESTS = 429
 const LIST_TIMEOUT_MS = 5_000
 const LIST_PAGE_ITEMS = 1_000
 const WATCH_RESPONSE_TIMEOUT_MS = 2_000
-/** Limit on the retries of a transaction that exceeded the store's rate. */
-const MAX_RETRIES = 5
-/** Delay before the first retry; the n-th retry waits n times as long. */
-const RETRY_PAUSE_MS = 70
-
 /** A request without its address; the time limit defaults to `REQUEST_TIMEOUT_MS`. */
-interface StoreRequest extends Omit<HttpRequest, "address" | "timeoutMs"> {
+export interface StoreRequest extends Omit<HttpRequest, "address" | "timeoutMs"> {
   readonly operation: StoreOperation
   readonly timeoutMs?: number
 }
@@ -61,7 +45,8 @@
       httpClient.call({ address, method, path, body, timeoutMs }),
       (cause: NoResponseError) => new StoreError({ operation, outcome: "unknown", status: 0, cause }),
     )
-const failRefused = (operation: StoreOperation, { status }: HttpResponse) =>
+/** Fails with the error for a request that the store refused. */
+export const failRefused = (operation: StoreOperation, { status }: HttpResponse) =>
   Effect.fail(new StoreError({ operation, outcome: "refused", status }))
 
 /** Reads one key. */
@@ -106,71 +91,6 @@
       }
     })
 
-const toCompareAndSwapResult = (response: HttpResponse): Effect.Effect<CompareAndSwapResult, StoreError> => {
-  switch (response.status) {
-    case 200:
-      return Effect.succeed({ ok: true, revision: decodeCommit(response.body) })
-    case 409:
-      return Effect.succeed({ ok: false, failedKeys: decodeConflict(response.body) })
-    default:
-      return failRefused("compareAndSwap", response)
-  }
-}
-
-/** Sends a transaction; retries it after a delay if it exceeded the store's rate. */
-export const compareAndSwap =
-  (send: Send, rateLimit: SharedRateLimit, log: Log): StoreClient["compareAndSwap"] =>
-  (conditions, operations, priority, timeoutMs) =>
-    Effect.suspend(() => {
-      const body = encodeTransaction(conditions, operations)
-      const request: StoreRequest = {
-        operation: "compareAndSwap",
-        method: "POST",
-        path: paths.transaction,
-        body,
-        timeoutMs,
-      }
-      return Effect.tap(sendWithinRate(send, rateLimit, request, operations.length, priority), (response) =>
-        response.status === BAD_REQUEST ? reportRejection(log, body, response) : Effect.void,
-      ).pipe(Effect.flatMap(toCompareAndSwapResult))
-    })
-
-const reportRejection = (log: Log, transaction: WireTransaction, { body }: HttpResponse) =>
-  Effect.gen(function* () {
-    log.info("store rejected a transaction", {
-      reason: decodeRefusal(body),
-      ...measureTransaction(transaction),
-      keys: transaction.apply.map((operation) => ("set" in operation ? operation.set : operation.delete)),
-    })
-    yield* Metric.update(rejectedTransactions, 1)
-  })
-
-/** Waits for write capacity; a transaction without writes doesn't count against the write rate. */
-const acquireWrites = (rateLimit: SharedRateLimit, writes: number, priority: RequestPriority) =>
-  writes === 0 ? Effect.void : rateLimit.acquire(writes, priority)
-
-const sendWithinRate = (
-  send: Send,
-  rateLimit: SharedRateLimit,
-  request: StoreRequest,
-  writes: number,
-  priority: RequestPriority | "reserved",
-): Effect.Effect<HttpResponse, StoreError> =>
-  Effect.gen(function* () {
-    // A loop rather than a `Schedule`: each attempt waits for capacity, except the first of a reserved write.
-    for (let retries = 0; ; retries++) {
-      if (priority !== "reserved") yield* acquireWrites(rateLimit, writes, priority)
-      else if (retries > 0) yield* acquireWrites(rateLimit, writes, 2)
-      const response = yield* send(request)
-      if (response.status !== TOO_MANY_REQUESTS) return response
-      yield* Metric.update(rateLimitedTransactions, 1)
-      rateLimit.recordRejection()
-      if (retries >= MAX_RETRIES) return response
-      // Rejected by the store's rate limit and therefore not applied: wait for capacity again, then retry.
-      yield* Effect.sleep(RETRY_PAUSE_MS * (retries + 1))
-    }
-  })
-
 /** Requests a new lease. */
 export const createLease =
   (send: Send): StoreClient["createLease"] =>
--- a/packages/testkit/src/scenarios/all-actions.ts
+++ b/packages/testkit/src/scenarios/all-actions.ts
@@ -65,6 +65,18 @@
   },
   resubmit: (deployment, args) => deployment.users.resubmit(jobAt(deployment, args)),
   cancel: (deployment, args) => deployment.users.cancel(jobAt(deployment, args)),
+  /** Cancels jobs in the order of their submission. Arguments: first index, number of jobs, and seconds. */
+  "cancel-range": (deployment, args) => {
+    const [first, count, spreadS] = [0, 1, 2].map((i) => numberArgument(args, i, 1)) as [
+      number,
+      number,
+      number,
+    ]
+    for (let i = 0; i < count; i++)
+      deployment.simulation.after((i * spreadS * 1000) / count, () =>
+        deployment.users.cancel(deployment.users.jobs[first + i]!),
+      )
+  },
   "poll-unknown-job": (deployment) => deployment.users.pollUnknownJob(),
   crash: (deployment, args) =>
     deployment.crash(nodeArgument(deployment, args), numberArgument(args, 1, 4) * 1000),
--- a/packages/testkit/src/scenarios/expectations.ts
+++ b/packages/testkit/src/scenarios/expectations.ts
@@ -2,6 +2,7 @@
  * Expectations that a scenario checks at its end, besides the invariants, by their names in scenario files.
  * They read the deployment and change nothing.
  */
+import { decodeRecord, MACHINE_BLOCKS, type MachineBlock, type StoreKey } from "@sorreltally/store"
 import type { SimulatedDeployment } from "../simulation/simulated-deployment.ts"
 import { type Args, numberArgument } from "./actions.ts"
 import { userExpectations } from "./user-actions.ts"
@@ -12,6 +13,15 @@
 const atMost = (label: string, count: number, args: Args): string | null =>
   count <= numberArgument(args, 0, 0) ? null : `${count} ${label}, expected at most ${args[0] ?? 0}`
 
+/** Number of machines in the machine blocks of the state service. */
+const machinesOnRecord = ({ state }: SimulatedDeployment): number => {
+  let count = 0
+  for (const [key, { value }] of state.entries)
+    if (key.startsWith(MACHINE_BLOCKS))
+      count += decodeRecord(key as StoreKey<MachineBlock>, value).machines.length
+  return count
+}
+
 /** All expectations by name. */
 export const expectations: Readonly<Record<string, Expectation>> = {
   ...userExpectations,
@@ -41,6 +51,8 @@
       ? null
       : `${count} machines left, expected at most ${args[0] ?? 0}`
   },
+  "machines-on-record-at-most": (deployment, args) =>
+    atMost("machines on record", machinesOnRecord(deployment), args),
   "state-requests-at-most": (deployment, args) =>
     atMost("requests to the state service", deployment.state.count.requests, args),
   "state-changes-at-most": (deployment, args) =>
--- a/packages/testkit/src/scenarios/scenario.ts
+++ b/packages/testkit/src/scenarios/scenario.ts
@@ -79,6 +79,10 @@
   "team-limit": ([limit]) => ({ teamMax: Number(limit) }),
   "never-boots": ([share]) => ({ neverBoots: Number(share) }),
   "state-limits": ([rps, writes]) => ({ stateRps: Number(rps), stateWrites: Number(writes) }),
+  /** Arguments: KiB per value, changes per transaction, and changes per second. */
+  "state-limits-announced": ([valueKb, operations, writes]) => ({
+    stateNext: [Number(valueKb), Number(operations), Number(writes)],
+  }),
   workers: ([report, lease, cancel]) => ({
     workers: { report_s: Number(report), lease_s: Number(lease), cancel_s: Number(cancel) },
   }),
--- a/packages/testkit/src/scenarios/user-actions.ts
+++ b/packages/testkit/src/scenarios/user-actions.ts
@@ -19,6 +19,13 @@
     deployment.state.setOutage(true)
     deployment.simulation.after(millisecondsArgument(args, 0, 10), () => deployment.state.setOutage(false))
   },
+  /** Arguments: KiB per value, changes per transaction, and changes per second; limits never rise. */
+  "lower-state-limits": (deployment, args) =>
+    deployment.state.lowerLimits({
+      value_kb: numberArgument(args, 0, 2),
+      txn_ops: numberArgument(args, 1, 4),
+      write_rps: numberArgument(args, 2, Number.POSITIVE_INFINITY),
+    }),
   "state-refuses": (deployment, args) => {
     const refused = nodeArgument(deployment, args)
     deployment.state.setRefused(refused, true)
@@ -72,6 +79,7 @@
   "unusual-requests",
   "cancel-at-end",
   "cancel-some",
+  "lower-state-limits",
 ])
 
 /** How often each event happened in the deployment, by the event's name in scenarios. */
@@ -96,6 +104,8 @@
     "lost answers": state.faults.count.lostAnswers,
     "changes with a lost answer first read by another node": state.faults.count.lostReadByOthers,
     "messages of the state service delayed": state.faults.count.slow,
+    "transactions over lowered limits": state.count.rejected,
+    "requests over the rate limits": state.count.refused,
     "changes that create a job": state.operations.count.create,
     "changes that cancel a job": state.operations.count.cancel,
     "changes that compact a job page": state.operations.count.compact,
--- a/packages/testkit/src/simulation/deployment.ts
+++ b/packages/testkit/src/simulation/deployment.ts
@@ -18,6 +18,8 @@
   /** Requests and changes per second that the state service accepts. */
   readonly stateRps: number
   readonly stateWrites: number
+  /** Limits that the settings announce for later, in this order: value size in KiB, operations, changes. */
+  readonly stateNext?: readonly [valueKb: number, operations: number, writes: number] | null
   /** Maximum number of sockets that a controller may have open. */
   readonly sockets: number
   /** Share of a core that a controller has according to its settings. */
--- a/packages/testkit/src/simulation/platform-file.ts
+++ b/packages/testkit/src/simulation/platform-file.ts
@@ -30,13 +30,19 @@
   workers: { report_s: 3, lease_s: 27, cancel_s: 47 },
 }
 
+const announcement = (next: DeploymentSetup["stateNext"]) => {
+  if (next == null) return {}
+  const [valueKb, txnOps, writeRps] = next
+  return { next: { value_kb: valueKb, txn_ops: txnOps, write_rps: writeRps } }
+}
+
 /** The settings file of one controller. */
 export const platformFileOf = (
   setup: DeploymentSetup,
   names: ReadonlyArray<NodeName>,
   index: number,
 ): WirePlatform => {
-  const { zones, teamMax, stateRps, stateWrites, sockets, cores } = setup
+  const { zones, teamMax, stateRps, stateWrites, stateNext, sockets, cores } = setup
   const peers = names
     .filter((_, i) => i !== index)
     .map((name) => ({ node_name: name, area: zones[0]!, peer_addr: `${name}:1` }))
@@ -56,7 +62,7 @@
       ],
       objectives: [{ kind: "wait", class: "bulk", within_s: 60, share: 0.9 }],
       workers: setup.workers,
-      state: { rps: stateRps, write_rps: stateWrites, value_kb: 4, txn_ops: 8 },
+      state: { rps: stateRps, write_rps: stateWrites, value_kb: 4, txn_ops: 8, ...announcement(stateNext) },
       cloud: { rps: 6, list_lag_s: 3 },
       machine_limits: { cores, mem_mb: 300, fd_limit: sockets },
       time_bound_ms: 1000,
--- a/packages/testkit/src/simulation/simulated-deployment.ts
+++ b/packages/testkit/src/simulation/simulated-deployment.ts
@@ -132,6 +132,8 @@
         if (path === "/v1/report") this.membershipFaults.heartbeatAnswered(node, from)
         this.faults.requestAnswered(node, path)
       },
+      sentRejectedAgain: (node, transaction) =>
+        this.invariants.reportViolation("sent_rejected_again", `${node} sent ${transaction}`),
       log: (line) => this.logged.push(line),
     }
   }
--- /dev/null
+++ b/scenarios/state-limits-twice.sexp
@@ -0,0 +1,10 @@
+(scenario "cancelled tasks stop in time and jobs end although the limits fall twice without notice, in an outage and in a failover (lease 20 s, cancel_s 28 s)"
+  (seeds 311 312 313) (until 400) (workers 3 20 28) (capacity 12) (team-limit 200)
+  (at 5 (stream 40 0.2 tasks 1 cores 0.25 mem-gb 0.5 run 60 deadline 350 machine-type large) (stream 30 20 tasks 4 cores 2 run 15))
+  (at 30 (state-outage 12)) (at 34 (lower-state-limits 2 4)) (at 35 (cancel-range 0 12 20))
+  (at 44 (stream 40 0.2 tasks 1 cores 0.25 mem-gb 0.5 run 60 machine-type small deadline 300))
+  (at 70 (crash-leader 1) (lower-state-limits 1 2)) (at 71 (cancel-range 12 10 10) (cancel-range 72 6 20))
+  (at 90 (stream 60 0.2 tasks 1 cores 0.25 mem-gb 0.5 run 20 machine-type large zone b deadline 200))
+  (at 130 (rolling-restart 1 0.3)) (at 131 (cancel-range 115 6 5))
+  (expect (all-jobs-final) (cancelled 10) (half-done-per-group) (counted-at-least "transactions over lowered limits" 6))
+  (guard "packages/store/src/limit-tracker.ts" " ?? this.reduceUnproven(size, NOTHING_ACCEPTED)" ""))
