--- a/packages/testkit/src/faults/effects.ts
+++ b/packages/testkit/src/faults/effects.ts
@@ -23,6 +23,7 @@
   "user-pressure",
   "fast-boots",
   "after-recovery",
+  "store-limits-lowered",
 ] as const
 /** Name of an effect. */
 export type FaultEffect = (typeof faultEffects)[number]
@@ -44,6 +45,8 @@
 const RETURN_EFFECTS_MS = 10_000
 /** Effects of lost tasks count as present for this long. */
 const WORK_LOST_EFFECTS_MS = 30_000
+/** Effects of lowered limits of the state service count as present for this long. */
+const STORE_LIMITS_EFFECTS_MS = 20_000
 /** A worker whose last answered heartbeat is older than this has missed one or two heartbeats. */
 const MAX_UNANSWERED_MS = 5_000
 
@@ -77,6 +80,8 @@
     "user-pressure": () =>
       this.deployment.userFaults.areActive() || this.deployment.membershipFaults.areActive(),
     "fast-boots": () => this.deployment.cloud.settings.bootWithinMs !== null,
+    "store-limits-lowered": () =>
+      this.isWithin(this.deployment.state.limitsLoweredAt, STORE_LIMITS_EFFECTS_MS),
     "after-recovery": () => this.isWithin(this.lastReturn(), RETURN_EFFECTS_MS),
   }
 
--- a/packages/testkit/src/faults/fault-draws.ts
+++ b/packages/testkit/src/faults/fault-draws.ts
@@ -17,6 +17,8 @@
   readonly capacity: number
   readonly stateRps: number
   readonly stateWrites: number
+  /** Limits of the state service that the settings announce, as scenarios give them; null: none. */
+  readonly stateNext: string | null
   /** Share of a core that a controller has, according to its settings. */
   readonly cores: number
   /** Share of a core that a controller's work actually gets; null: work takes no simulated time. */
@@ -46,6 +48,8 @@
 const RETURN_EFFECTS_S = 6
 /** A silent machine is detected after one or two missed heartbeats. */
 const SILENCE_DETECTION_S = 6
+/** Controllers notice lowered limits with the first larger transaction, which most of them send by then. */
+export const STORE_LIMITS_EFFECT_S = 20
 /** Lost work is restarted within this time. */
 const RECOVERY_S = 20
 
--- a/packages/testkit/src/faults/fault-kinds.ts
+++ b/packages/testkit/src/faults/fault-kinds.ts
@@ -14,6 +14,7 @@
   leaseLapseWindows,
   leaseTtlS,
   machineSilenceWindows,
+  STORE_LIMITS_EFFECT_S,
   workLostWindow,
 } from "./fault-draws.ts"
 
@@ -335,4 +336,14 @@
       windows: effectWindow("messages-unreliable", 0, durationS),
     }
   }),
+  faultKind("lower-state-limits", (random, { stateWrites }) => {
+    const valueKb = random.pick([3, 2, 1.5, 1])
+    const operations = random.pick([6, 4, 3, 2])
+    const writes = random.pick([stateWrites, Math.ceil(stateWrites / 2)])
+    return {
+      form: `(lower-state-limits ${valueKb} ${operations} ${writes})`,
+      durationS: 0,
+      windows: effectWindow("store-limits-lowered", 0, STORE_LIMITS_EFFECT_S),
+    }
+  }),
 ]
--- a/packages/testkit/src/random-days/random-day.ts
+++ b/packages/testkit/src/random-days/random-day.ts
@@ -56,6 +56,7 @@
   capacity: 6,
   stateRps: 200,
   stateWrites: 60,
+  stateNext: null,
   cores: 0.4,
   processorShare: null,
 }
@@ -88,6 +89,9 @@
 /** Shares of a core that the nodes actually get; null: their work takes no time. */
 const PROCESSOR_SHARES = [null, null, 0.2, 0.1, 0.05]
 
+/** Limits that the settings announce; the limits that are in force later may be others. */
+const ANNOUNCED_LIMITS = [null, null, "2 4 60", "1 3 30"]
+
 const faultKindNamed = (name: string): FaultKind => faultKinds.find((kind) => kind.name === name)!
 const cancellationsAsFault = (): DrawnFault => ({
   form: "",
@@ -114,6 +118,7 @@
     ...drawSettings(random),
     cores: random.pick(CONTROLLER_CORES),
     processorShare: random.pick(PROCESSOR_SHARES),
+    stateNext: random.pick(ANNOUNCED_LIMITS),
   }
   const users = [...drawUserEvents(random, settings)]
   const faults: Array<FaultEvent> = []
@@ -163,14 +168,15 @@
   }
   const writtenFaults = faults.filter(({ form, pair }) => form !== "" || pair !== null)
   const lines = [...users.map(userLine), ...writtenFaults.map(faultLine)].sort((a, b) => a.atS - b.atS)
-  const { nodes, zones, leaseS, cancelS, teamLimit, capacity, stateRps, stateWrites, cores, processorShare } =
-    settings
+  const { nodes, zones, leaseS, cancelS, teamLimit, capacity, stateRps, stateWrites } = settings
+  const { cores, processorShare, stateNext } = settings
   // Work that exceeds the team's limit has to wait, the largest jobs too.
   const startLimitS = LARGEST_JOB_START_LIMIT_S + Math.ceil(busiestTeamWorkS(users, settings))
   const processorShareForm = processorShare === null ? "" : ` (processor-share ${processorShare})`
+  const stateNextForm = stateNext === null ? "" : ` (state-limits-announced ${stateNext})`
   return `(scenario "random day ${seed}" (seed ${seed}) (until ${DAY_LENGTH_S})
   (nodes ${nodes}) (controller-cores ${cores})${processorShareForm} (zones ${zones.join(" ")})
-  (workers 3 ${leaseS} ${cancelS}) (state-limits ${stateRps} ${stateWrites}) (team-limit ${teamLimit})
+  (workers 3 ${leaseS} ${cancelS}) (state-limits ${stateRps} ${stateWrites})${stateNextForm} (team-limit ${teamLimit})
   (capacity ${capacity}) (never-boots 0.05)
   ${lines.map(({ text }) => text).join("\n  ")}
   (expect (all-jobs-final) (half-done-per-group) (largest-started-within ${startLimitS})))`
