--- a/packages/provisioning/src/machine-index.ts
+++ b/packages/provisioning/src/machine-index.ts
@@ -49,6 +49,10 @@
   all(): Iterable<MachineEntry> {
     return this.machines.values()
   }
+  /** Records that a machine without a record was deleted. */
+  markRemoved(id: MachineId): void {
+    addBounded(this.removedMachines, id)
+  }
   /** Number of a shard's machines. */
   size(shard: ShardName): number {
     return this.countByShard.get(shard) ?? 0
--- a/packages/shard/src/machine-adoption.ts
+++ b/packages/shard/src/machine-adoption.ts
@@ -46,10 +46,14 @@
    * a later round repeats a deletion that failed.
    */
   private returnGroup(group: ReadonlyArray<ListedMachine>): Effect.Effect<void> {
-    const { cloud, log } = this.shard.node
-    const ids = group.slice(0, MAX_MACHINES_PER_RELEASE).map((machine) => machine.id)
-    log.info("machines returned: the store's limits don't allow their adoption", { machines: ids })
-    return Effect.ignore(cloud.remove(ids))
+    return Effect.gen({ self: this }, function* () {
+      const { cloud, log, machineIndex } = this.shard.node
+      const ids = group.slice(0, MAX_MACHINES_PER_RELEASE).map((machine) => machine.id)
+      const removed = yield* Effect.result(cloud.remove(ids))
+      if (Result.isFailure(removed)) return
+      for (const id of ids) machineIndex.markRemoved(id)
+      log.info("machines returned: the store's limits don't allow their adoption", { machines: ids })
+    })
   }
 
   private adoptableBySeries(): Iterable<ReadonlyArray<ListedMachine>> {
