--- a/packages/testkit/src/random-days/sweep.ts
+++ b/packages/testkit/src/random-days/sweep.ts
@@ -1,10 +1,11 @@
 /**
  * Runs many random days in worker processes:
  *
- *     npm run sweep -- --first 1001 --days 1000 --jobs 3 [--shrink] [--digest] [--day-limit-s 180]
+ *     npm run sweep -- --first 1001 --days 1000 --jobs 3 [--shrink] [--digest] [--day-limit-s 180] [--lowered-limits]
  *
  * Prints the scenario of every day that fails, and how often the pairs of faults met. `--shrink` reduces
  * failing days to fewer events, and `--digest` prints the digest of each day's messages when the day ends.
+ * `--lowered-limits` runs days on which the state service lowers its limits twice, amid bursts of jobs.
  * Exits with 1 if a day failed.
  */
 import { type ChildProcess, fork } from "node:child_process"
@@ -13,6 +14,7 @@
 import { TraceDigest } from "../simulation/trace-digest.ts"
 import { Coverage } from "./coverage.ts"
 import { type DayResult, runDay } from "./day-run.ts"
+import { drawLoweredLimitsDay } from "./lowered-limits-day.ts"
 import { drawDay, scenarioOf } from "./random-day.ts"
 import { shrink } from "./shrink.ts"
 
@@ -23,17 +25,19 @@
     jobs: { type: "string", default: "3" },
     shrink: { type: "boolean", default: false },
     digest: { type: "boolean", default: false },
+    "lowered-limits": { type: "boolean", default: false },
     "day-limit-s": { type: "string", default: "180" },
   },
 })
 const MAX_SHRINK_RUNS = 200
+const dayOf = values["lowered-limits"] ? drawLoweredLimitsDay : drawDay
 
 /** A day's result with the digest of its messages: null without `--digest`, or if the worker failed. */
 type SweptDay = DayResult & { readonly digest: string | null }
 
 const sweepDay = (seed: number): SweptDay => {
   const trace = values.digest ? new TraceDigest() : undefined
-  return { ...runDay(drawDay(seed), trace), digest: trace?.digest() ?? null }
+  return { ...runDay(dayOf(seed), trace), digest: trace?.digest() ?? null }
 }
 /** Worker process: receives seeds and replies with the results of their days. */
 const serveDays = (): void => {
@@ -99,7 +103,7 @@
     return this.failedDays.length === 0 ? 0 : 1
   }
   private printFailure(result: DayResult): void {
-    const day = drawDay(result.seed)
+    const day = dayOf(result.seed)
     const reportedDay = values.shrink ? shrink(day, result, runDay, MAX_SHRINK_RUNS) : day
     process.stdout.write(
       `\n; seed ${result.seed}: ${result.failures.join("; ")}\n${scenarioOf(reportedDay)}\n\n`,
