--- a/packages/testkit/src/scenarios/scenario.ts
+++ b/packages/testkit/src/scenarios/scenario.ts
@@ -79,9 +79,14 @@
   "team-limit": ([limit]) => ({ teamMax: Number(limit) }),
   "never-boots": ([share]) => ({ neverBoots: Number(share) }),
   "state-limits": ([rps, writes]) => ({ stateRps: Number(rps), stateWrites: Number(writes) }),
-  /** Arguments: KiB per value, changes per transaction, and changes per second. */
-  "state-limits-announced": ([valueKb, operations, writes]) => ({
-    stateNext: [Number(valueKb), Number(operations), Number(writes)],
+  /** Arguments: KiB per value, changes per transaction, changes and requests per second. */
+  "state-limits-announced": ([valueKb, operations, writes, requests]) => ({
+    stateNext: [
+      Number(valueKb),
+      Number(operations),
+      Number(writes),
+      requests === undefined ? null : Number(requests),
+    ],
   }),
   workers: ([report, lease, cancel]) => ({
     workers: { report_s: Number(report), lease_s: Number(lease), cancel_s: Number(cancel) },
--- a/packages/testkit/src/scenarios/user-actions.ts
+++ b/packages/testkit/src/scenarios/user-actions.ts
@@ -19,12 +19,13 @@
     deployment.state.setOutage(true)
     deployment.simulation.after(millisecondsArgument(args, 0, 10), () => deployment.state.setOutage(false))
   },
-  /** Arguments: KiB per value, changes per transaction, and changes per second; limits never rise. */
+  /** Arguments: KiB per value, changes per transaction, changes and requests per second; limits never rise. */
   "lower-state-limits": (deployment, args) =>
     deployment.state.lowerLimits({
       value_kb: numberArgument(args, 0, 2),
       txn_ops: numberArgument(args, 1, 4),
       write_rps: numberArgument(args, 2, Number.POSITIVE_INFINITY),
+      rps: numberArgument(args, 3, Number.POSITIVE_INFINITY),
     }),
   "state-refuses": (deployment, args) => {
     const refused = nodeArgument(deployment, args)
--- a/packages/testkit/src/simulation/deployment.ts
+++ b/packages/testkit/src/simulation/deployment.ts
@@ -18,8 +18,10 @@
   /** Requests and changes per second that the state service accepts. */
   readonly stateRps: number
   readonly stateWrites: number
-  /** Limits that the settings announce for later, in this order: value size in KiB, operations, changes. */
-  readonly stateNext?: readonly [valueKb: number, operations: number, writes: number] | null
+  /** Limits that the settings announce for later; no limit on requests is announced if that is null. */
+  readonly stateNext?:
+    | readonly [valueKb: number, operations: number, writes: number, requests: number | null]
+    | null
   /** Maximum number of sockets that a controller may have open. */
   readonly sockets: number
   /** Share of a core that a controller has according to its settings. */
--- a/packages/testkit/src/simulation/platform-file.ts
+++ b/packages/testkit/src/simulation/platform-file.ts
@@ -32,8 +32,8 @@
 
 const announcement = (next: DeploymentSetup["stateNext"]) => {
   if (next == null) return {}
-  const [valueKb, txnOps, writeRps] = next
-  return { next: { value_kb: valueKb, txn_ops: txnOps, write_rps: writeRps } }
+  const [valueKb, txnOps, writeRps, rps] = next
+  return { next: { value_kb: valueKb, txn_ops: txnOps, write_rps: writeRps, rps } }
 }
 
 /** The settings file of one controller. */
