Rule sent_rejected_again: by content, and only after answers that the controller received

A controller can't know an answer that it no longer waits for. And the rule missed the original fault, whose repetitions differ in the number of the write. Change: a rejection counts once the controller has received it; transactions are compared without that number.

--- a/packages/testkit/src/simulation/simulated-controller.ts
+++ b/packages/testkit/src/simulation/simulated-controller.ts
@@ -63,7 +63,7 @@
   /** Freeze before the next message of a kind; that message is sent once the controller resumes. */
   private pendingFreeze: { readonly point: FreezePoint; readonly ms: number } | null = null
   private commandsInFlight = 0
-  /** Transactions that the state service rejected. */
+  /** Transactions that the state service rejected with an answer that the controller received. */
   private readonly rejectedTransactions = new Set<string>()
 
   constructor(
@@ -131,20 +131,19 @@
   }
   private call(call: HttpRequest): Effect.Effect<HttpResponse, NoResponseError> {
     const isCommand = call.path === COMMANDS_PATH
+    const request = { method: call.method, path: call.path, body: call.body }
     return Effect.callback<HttpResponse, NoResponseError>((resume) => {
       const to = call.address.slice(0, call.address.lastIndexOf(":"))
-      const request = { method: call.method, path: call.path, body: call.body }
       if (isCommand) this.environment.commandsInFlightChanged(++this.commandsInFlight)
       this.checkNotRejected(request)
-      const done = (answer: Answer | null) => {
-        if (answer?.status === 400 && request.path === TRANSACTIONS_PATH)
-          this.rejectedTransactions.add(JSON.stringify(request.body))
+      const done = (answer: Answer | null) =>
         this.process.runWhenAwake(() => resume(responseOf(answer)), ANSWER_COST_MS)
-      }
       this.sendUnlessFrozen(freezePointOf(request), () =>
         this.environment.network.request(this.identity.name, to, request, done),
       )
     }).pipe(
+      // An answer that comes after the controller's time-out is not seen by the controller.
+      Effect.tap(({ status }) => Effect.sync(() => this.recordRejection(request, status))),
       Effect.ensuring(
         Effect.sync(() => {
           if (isCommand) this.commandsInFlight--
@@ -153,9 +152,12 @@
     )
   }
 
+  private recordRejection({ path, body }: Request, status: number): void {
+    if (status === 400 && path === TRANSACTIONS_PATH) this.rejectedTransactions.add(contentOf(body))
+  }
   private checkNotRejected({ path, body }: Request): void {
     if (path !== TRANSACTIONS_PATH || this.rejectedTransactions.size === 0) return
-    const transaction = JSON.stringify(body)
+    const transaction = contentOf(body)
     if (this.rejectedTransactions.has(transaction))
       this.environment.sentRejectedAgain(this.identity.name, transaction)
   }
@@ -191,6 +193,10 @@
 const TRANSACTIONS_PATH = "/multi"
 const isHeartbeat = ({ path }: Request): boolean => path === "/v1/report"
 
+/** A transaction without the number of its write, by which alone a repeated placement write may differ. */
+const contentOf = (transaction: unknown): string =>
+  JSON.stringify(transaction).replace(/"w":\[\d+,\d+\],/g, "")
+
 const responseOf = (answer: Answer | null): Effect.Effect<HttpResponse, NoResponseError> =>
   answer === null ? Effect.fail(new NoResponseError({ reason: "reset" })) : Effect.succeed(answer)
 
