--- a/review/standins-2/cloud.mjs
+++ b/review/standins-2/cloud.mjs
@@ -52,6 +52,10 @@
     if (earlier !== undefined) return answer(200, earlier)
     const type = this.types.find(({ name }) => name === body.build)
     if (type === undefined) return answer(400, {})
+    if (!Number.isInteger(body.how_many) || body.how_many < 1) {
+      this.world.record("malformed rental", body)
+      return answer(400, { error: "how_many" })
+    }
     const count = Math.min(body.how_many, 50, this.capacity - this.machines.size)
     if (count <= 0) return answer(503, { error: "no capacity" })
     const hosts = []
--- a/review/standins-2/http.mjs
+++ b/review/standins-2/http.mjs
@@ -10,10 +10,10 @@
 export const json = { parse: JSON.parse, stringify: (value) => JSON.stringify(value) }
 
 /**
- * Listens on a free loopback port. `serve(method, path, body, answer, text)` calls `answer(status, body)` once, or
+ * Listens on a loopback port, a free one unless it is given. `serve(method, path, body, answer, text)` calls `answer(status, body)` once, or
  * never; `answer.drop()` resets the connection.
  */
-export const listen = async (serve) => {
+export const listen = async (serve, port = 0) => {
   const server = createServer((incoming, response) => {
     const chunks = []
     incoming.on("error", () => response.destroy())
@@ -34,7 +34,7 @@
     })
   })
   server.keepAliveTimeout = 0
-  await new Promise((resolve) => server.listen(0, LOOPBACK, resolve))
+  await new Promise((resolve) => server.listen(port, LOOPBACK, resolve))
   const close = () => {
     server.closeAllConnections()
     server.close()
--- a/review/standins-2/worker.mjs
+++ b/review/standins-2/worker.mjs
@@ -23,8 +23,10 @@
     this.hooks = {}
   }
   async boot() {
-    const listener = await listen((method, path, body, answer) =>
-      this.whenAwake(() => this.serve(method, path, body, answer)),
+    const port = this.world.portFor?.(this)
+    const listener = await listen(
+      (method, path, body, answer) => this.whenAwake(() => this.serve(method, path, body, answer)),
+      port,
     )
     this.listener = listener
     if (this.isGone) return listener.close()
