--- a/review/standins-2/deployment.mjs
+++ b/review/standins-2/deployment.mjs
@@ -14,13 +14,20 @@
 export const hasTrouble = process.env.TROUBLE !== "0"
 const ROOT = new URL("../../", import.meta.url).pathname
 
-const freePort = () =>
+/** Below the range from which outgoing connections usually get theirs, so that none takes it before it is used. */
+const PORTS = { first: 12_000, count: 20_000 }
+const isFree = (port) =>
   new Promise((resolve) => {
-    const server = createServer().listen(0, LOOPBACK, () => {
-      const { port } = server.address()
-      server.close(() => resolve(port))
-    })
+    const server = createServer()
+    server.on("error", () => resolve(false))
+    server.listen(port, LOOPBACK, () => server.close(() => resolve(true)))
   })
+const freePort = async () => {
+  for (;;) {
+    const port = PORTS.first + Math.floor(Math.random() * PORTS.count)
+    if (await isFree(port)) return port
+  }
+}
 
 export class Deployment {
   constructor(options) {
