Workers: a restart is recognized by what it lost, not by lower counters alone

Cause: a restarted worker was known only by counters below the last accepted ones, asked for after 1.5 heartbeat intervals of silence. Its messages counted as those of the same run, so that the missing task was taken for "never started" under the token that the copy had, and no higher one was ever asked for. In the trace nothing was logged and the token stayed 2 for 50 s, which rules out a raise that came too late.

Change: RestartDetector. Within a session a worker that shows a lower token than before, lacks a task that no purge was sent for, or reports an attempt in an earlier phase has restarted; so has one whose response to a request, also to commands, has lower counters than the messages before that request (only the inspection looked at that). From then on the current token proves nothing: absence clears no placement and nothing is purged until the worker shows a token raised since. Former owners' purges can't look like a restart: tasks count as listed only under a token of this owner. The log line says the sign.

Test-kit: restart-and-repeat-commands, copies that reach a machine after its restart (until now a connection ended with it).

--- a/packages/shard/src/command-delivery.ts
+++ b/packages/shard/src/command-delivery.ts
@@ -5,7 +5,7 @@
  */
 import { NOT_SENT } from "@sorreltally/peers"
 import { addMs, type Heartbeat, type MachineId } from "@sorreltally/protocol"
-import type { WorkerSession } from "@sorreltally/workers"
+import type { MessageCounters, WorkerSession } from "@sorreltally/workers"
 import { Effect } from "effect"
 import { fenceIfNeeded } from "./fencing.ts"
 import type { TaskOutcomes } from "./task-outcomes.ts"
@@ -68,6 +68,7 @@
       const commands = session.selectCommands(now, (task) => registry.finishIsDurable(task))
       if (!commands.some(({ kind }) => kind !== "purge")) return Effect.void
       session.recordDirectCommands(commands, now)
+      const countersBefore = session.counters()
       const batch = { fencingToken: token, agentEpoch, commands }
       return Effect.map(
         node.commandForwarder.send(address, batch, session.forwardedBy),
@@ -75,20 +76,24 @@
           const isOutcomeKnown = status === HTTP_OK || status === HTTP_CONFLICT || status === NOT_SENT
           session.recordDirectResult(commands, token, isOutcomeKnown)
           if (this.context.isStopped() || this.context.machines.get(session.id) !== session) return
-          this.applyResponse(session, heartbeat)
+          this.applyResponse(session, heartbeat, countersBefore)
         },
       )
     })
   }
 
   /** `heartbeat` is the worker state in the response; null if there is no response or it contains none. */
-  private applyResponse(session: WorkerSession, heartbeat: Heartbeat | null): void {
+  private applyResponse(
+    session: WorkerSession,
+    heartbeat: Heartbeat | null,
+    countersBefore: MessageCounters,
+  ): void {
     const now = this.context.node.clocks.monotonicNow()
     if (heartbeat === null) {
       session.commandsPausedUntil = addMs(now, DIRECT_COMMANDS_BACKOFF_MS)
       return
     }
-    const outcomes = session.observe(heartbeat, "direct", now)
+    const outcomes = session.observeResponse(heartbeat, countersBefore, now)
     if (outcomes !== null) this.taskOutcomes.apply(session, outcomes)
     fenceIfNeeded(this.context, session)
     if (this.isThrottled || this.sessionsWithCommandsDue.has(session)) this.push()
--- a/packages/shard/src/fencing.ts
+++ b/packages/shard/src/fencing.ts
@@ -11,8 +11,11 @@
  */
 export const fenceIfNeeded = (context: WorkerCommunicationContext, session: WorkerSession): void => {
   if (session.needsHigherToken() && !context.machineRecords.isEditing(session.id)) {
-    if (session.unreachableSince !== null)
-      context.node.log.info("raising fencing token of unreachable machine", { machine: session.id })
+    const { log } = context.node
+    const { id: machine, agentEpoch, restartSign } = session
+    if (restartSign !== null) log.info("worker restarted", { machine, agentEpoch, sign: restartSign })
+    else if (session.unreachableSince !== null)
+      log.info("raising fencing token of unreachable machine", { machine })
     context.machineRecords.edit(session.id, { kind: "fence" }, (isRecorded) => {
       if (isRecorded) session.recordTokenRaised()
     })
--- a/packages/shard/src/worker-inspection.ts
+++ b/packages/shard/src/worker-inspection.ts
@@ -26,7 +26,7 @@
     if (this.machinesBeingInspected.has(session.id)) return
     this.machinesBeingInspected.add(session.id)
     const countersBefore = session.counters()
-    const { httpClient, clocks, fork, log } = this.context.node
+    const { httpClient, clocks, fork } = this.context.node
     const request = {
       address: heartbeat.address,
       method: "GET",
@@ -41,10 +41,8 @@
         if (decoded === null || Result.isFailure(decoded)) return
         if (this.context.machines.get(session.id) !== session) return
         if (decoded.success.machineId !== session.id) return
-        const outcomes = session.observe(decoded.success, "direct", clocks.monotonicNow())
+        const outcomes = session.observeResponse(decoded.success, countersBefore, clocks.monotonicNow())
         if (outcomes !== null) this.taskOutcomes.apply(session, outcomes)
-        else if (session.acceptRestart(decoded.success, countersBefore, clocks.monotonicNow()))
-          log.info("worker restarted", { machine: session.id, agentEpoch: decoded.success.agentEpoch })
         fenceIfNeeded(this.context, session)
       }).pipe(Effect.ensuring(Effect.sync(() => this.machinesBeingInspected.delete(session.id)))),
     )
--- a/packages/testkit/src/simulation/network.ts
+++ b/packages/testkit/src/simulation/network.ts
@@ -25,6 +25,8 @@
   readonly request: Request
   /** Delivers a copy later, regardless of cuts; only `answered` receives the answer. */
   readonly deliverCopy: (to: string, afterMs: number, answered?: (answer: Answer) => void) => void
+  /** Sends a copy later on a connection of its own, so that it also reaches a host that restarted. */
+  readonly sendAgain: (afterMs: number, answered: (answer: Answer) => void) => void
 }
 /**
  * `withhold`: the request is not delivered (copies of it may be) and its sender gets no answer;
@@ -114,19 +116,23 @@
     }
   }
   private verdictOf(from: string, to: string, request: Request, text: string): Verdict {
+    const deliver = (host: string, answered: (answer: Answer) => void) =>
+      this.servers.get(host)?.({ ...request, body: JSON.parse(text) }, from, (answer) => {
+        this.traceAnswer(host, from, request, answer)
+        answered(answer)
+      })
     const deliverCopy: OutgoingRequest["deliverCopy"] = (host, afterMs, answered = () => {}) => {
       const serverWhenSent = this.servers.get(host)
       this.simulation.after(afterMs, () => {
-        if (this.hasConnectionEnded(host, serverWhenSent)) return
-        this.servers.get(host)?.({ ...request, body: JSON.parse(text) }, from, (answer) => {
-          this.traceAnswer(host, from, request, answer)
-          answered(answer)
-        })
+        if (!this.hasConnectionEnded(host, serverWhenSent)) deliver(host, answered)
       })
     }
+    const sendAgain: OutgoingRequest["sendAgain"] = (afterMs, answered) => {
+      this.simulation.after(afterMs, () => deliver(to, answered))
+    }
     let verdict: Verdict = "pass"
     for (const interceptor of this.interceptors) {
-      const decision = interceptor({ from, to, request, deliverCopy })
+      const decision = interceptor({ from, to, request, deliverCopy, sendAgain })
       if (decision !== "pass") verdict = decision
     }
     return verdict
--- a/packages/testkit/src/simulation/occurrences.ts
+++ b/packages/testkit/src/simulation/occurrences.ts
@@ -3,6 +3,8 @@
   "cancellations confirmed while a controller is isolated",
   "commands carried out on resuming",
   "commands of a former leader refused",
+  "commands from before a restart carried out again",
+  "commands from before a restart refused",
   "commands of an earlier session refused",
   "heartbeats answered by an isolated controller",
   "late commands carried out",
--- a/packages/testkit/src/simulation/simulated-deployment.ts
+++ b/packages/testkit/src/simulation/simulated-deployment.ts
@@ -8,6 +8,7 @@
 import { InfrastructureFaults } from "../faults/infrastructure-faults.ts"
 import { LimitCoincidences } from "../faults/limit-coincidences.ts"
 import { MembershipFaults } from "../faults/membership-faults.ts"
+import { RestartFaults } from "../faults/restart-faults.ts"
 import { UserFaults } from "../faults/user-faults.ts"
 import { Invariants } from "../invariants/invariants.ts"
 import { WaitingInvariant } from "../invariants/waiting-invariant.ts"
@@ -34,6 +35,7 @@
   readonly state: StateService
   readonly cloud: Cloud
   readonly faults: InfrastructureFaults
+  readonly restartFaults: RestartFaults
   readonly users: Users
   readonly userFaults: UserFaults
   readonly membershipFaults: MembershipFaults
@@ -85,6 +87,7 @@
     this.users = new Users(this.simulation, this.network, this.invariants.users, this.names)
     this.userFaults = new UserFaults(this.simulation, this.users, this.invariants)
     this.faults = new InfrastructureFaults(this)
+    this.restartFaults = new RestartFaults(this)
     this.membershipFaults = new MembershipFaults(this)
     this.limitCoincidences = new LimitCoincidences(this)
     for (const [i, name] of this.names.entries())
--- a/packages/workers/src/worker-commands.ts
+++ b/packages/workers/src/worker-commands.ts
@@ -13,6 +13,7 @@
   TaskId,
 } from "@sorreltally/protocol"
 import { commandsFor } from "./commands.ts"
+import type { RestartDetector } from "./restart-detection.ts"
 import type { StartEvidence, StartTracker } from "./start-tracker.ts"
 
 /** With more exited tasks than this that wait for a higher token to be purged, the token is raised. */
@@ -29,6 +30,7 @@
 
   constructor(
     private readonly starts: StartTracker,
+    private readonly restarts: RestartDetector,
     private readonly placements: ReadonlyMap<TaskId, Placement>,
   ) {}
 
@@ -86,6 +88,7 @@
   recordReply(commands: ReadonlyArray<Command>, sequence: SequenceNumber, now: MonotonicTime): void {
     this.starts.dropExpiredReplies(now)
     for (const { kind, taskId, attempt } of commands) {
+      if (kind === "purge") this.restarts.recordPurge(taskId, attempt)
       if (kind !== "start") continue
       this.starts.recordStartInReply(taskId, attempt, sequence, now)
       this.countUnacknowledgedStart(taskId)
@@ -94,8 +97,10 @@
   /** Called before commands are sent to the worker's own address. */
   recordDirect(commands: ReadonlyArray<Command>, token: FencingToken, now: MonotonicTime): void {
     this.inFlight = true
-    for (const { kind, taskId, attempt } of commands)
+    for (const { kind, taskId, attempt } of commands) {
+      if (kind === "purge") this.restarts.recordPurge(taskId, attempt)
       if (kind === "start") this.starts.recordDirectStart(taskId, attempt, token, now)
+    }
   }
   /**
    * Records the end of a request with direct commands. `isOutcomeKnown`: it was answered, or certainly not
--- a/packages/workers/src/worker-session.ts
+++ b/packages/workers/src/worker-session.ts
@@ -37,6 +37,7 @@
 import { evaluatePlacement } from "./placement-verdict.ts"
 import { Reachability } from "./reachability.ts"
 import { ReportedTasks } from "./reported-tasks.ts"
+import { RestartDetector, type RestartSign } from "./restart-detection.ts"
 import { type StartEvidence, StartTracker } from "./start-tracker.ts"
 import { WorkerCommands } from "./worker-commands.ts"
 import { WorkerLease } from "./worker-lease.ts"
@@ -72,15 +73,19 @@
   private readonly imageCache: ImageCache
   private readonly reported = new ReportedTasks()
   private readonly starts = new StartTracker()
+  private readonly restarts = new RestartDetector()
+  /** The lowest token of this owner: a worker that has shown it refuses the commands of former owners. */
+  private readonly firstToken: FencingToken
   private readonly workerCommands: WorkerCommands
 
   constructor(private readonly options: WorkerSessionOptions) {
     const { entry, type, times, now } = options
     this.currentEntry = entry
+    this.firstToken = this.token
     this.lease = new WorkerLease(times, now)
     this.reachability = new Reachability(times)
     this.placedTasks = new PlacedTasks(type)
-    this.workerCommands = new WorkerCommands(this.starts, this.placedTasks.byTask)
+    this.workerCommands = new WorkerCommands(this.starts, this.restarts, this.placedTasks.byTask)
     this.imageCache = new ImageCache(type.cacheGb)
   }
 
@@ -101,9 +106,16 @@
   get token(): FencingToken {
     return Math.max(this.options.shardEpoch, this.currentEntry.token) as FencingToken
   }
-  /** Whether the worker has shown the current token: it then refuses commands with a lower one. */
+  /**
+   * Whether the worker has shown the current token: it then refuses commands with a lower one. After a restart
+   * it is one that was raised since, as commands from before the restart may arrive again.
+   */
   private get isTokenConfirmed(): boolean {
-    return this.latestMessage.seenToken === this.token
+    return this.latestMessage.seenToken === this.token && this.restarts.isSettledBy(this.token)
+  }
+  /** How the worker's restart was recognized; null: it didn't restart, or has shown a raised token since. */
+  get restartSign(): RestartSign | null {
+    return this.restarts.sign
   }
   /** Agent epoch of the current session; null: none is known, or the last one has provably ended. */
   get agentEpoch(): AgentEpoch | null {
@@ -159,18 +171,43 @@
    */
   observe(heartbeat: Heartbeat, source: MessageSource, now: MonotonicTime): ReadonlyArray<Outcome> | null {
     if (this.latestMessage.isOutdated(heartbeat, source)) return null
-    if (this.latestMessage.beginsSession(heartbeat)) this.beginSession(source, now)
-    this.latestMessage.accept(heartbeat)
-    const isProvenFresh = source === "direct" || this.isTokenConfirmed || this.options.rentedInEpoch
+    this.trackSession(heartbeat, source, now)
+    const isProvenFresh = source === "direct" || this.isTokenConfirmed || this.isNeverOwnedBefore
     this.reachability.recordMessage(source, isProvenFresh, now)
-    if (this.isTokenConfirmed) this.reachability.recordTokenConfirmed()
+    if (this.isTokenConfirmed) this.recordTokenConfirmed()
     this.preemptionAt =
       typeof heartbeat.preemptionNoticeS === "number" ? addMs(now, heartbeat.preemptionNoticeS * 1000) : null
     this.address = heartbeat.address
-    this.reported.replaceWith(heartbeat)
     this.trackStarts(heartbeat)
     return this.collectOutcomes(heartbeat, source, isProvenFresh, now)
   }
+  /** Whether no message of the worker can be from before this owner, or from before a restart. */
+  private get isNeverOwnedBefore(): boolean {
+    return this.options.rentedInEpoch && this.restarts.isSettledBy(this.token)
+  }
+  private recordTokenConfirmed(): void {
+    this.reachability.recordTokenConfirmed()
+    this.restarts.recordSettled()
+  }
+  /** Accepts a newer message, and handles the start of a session or a restart that it shows. */
+  private trackSession(heartbeat: Heartbeat, source: MessageSource, now: MonotonicTime): void {
+    const { seenToken } = this.latestMessage
+    if (this.latestMessage.beginsSession(heartbeat)) this.beginSession(source, now)
+    this.latestMessage.accept(heartbeat)
+    this.reported.replaceWith(heartbeat)
+    const sign = this.restarts.signIn(heartbeat, seenToken, this.reported.byId)
+    if (sign !== null) this.beginAfterRestart(sign, now)
+    const isExclusive = heartbeat.fencingToken >= this.firstToken || this.isNeverOwnedBefore
+    this.restarts.recordTasks(this.reported.byId, isExclusive)
+  }
+  /** Handles the first message after a restart: until a raised token is shown, absence proves nothing. */
+  private beginAfterRestart(sign: RestartSign, now: MonotonicTime): void {
+    this.restarts.recordRestart(sign, this.token)
+    this.lease.renew(now)
+    this.reachability.recordRestart(now)
+    this.imageCache.clear()
+    this.starts.resetForRestart()
+  }
   /** Handles the first message of a session; the worker has lost the lease of the former one, if any. */
   private beginSession(source: MessageSource, now: MonotonicTime): void {
     // The worker lost a lease that the owner kept renewing: the replies didn't reach it.
@@ -181,6 +218,7 @@
     this.lease.renew(now)
     this.imageCache.clear()
     this.starts.resetForNewSession()
+    this.restarts.resetForNewSession()
   }
   private trackStarts({ fencingToken, tasks }: Heartbeat): void {
     this.starts.recordTokenSeen(fencingToken)
@@ -233,23 +271,33 @@
   }
 
   /**
-   * Accepts the response to an inspection if its counters are lower than `countersBefore`, those at the time
-   * of the request. Only heartbeats can be delayed duplicates, so the worker restarted. It has to show a
-   * raised token before its former tasks count as gone: commands sent before may still be in transit. Returns
-   * false, and changes nothing, if the counters aren't lower.
+   * Processes the response to a direct request. Returns null if messages that were sent after it have arrived
+   * before. `countersBefore` are those at the time of the request: as only heartbeats can be delayed
+   * duplicates, lower ones show that the worker restarted.
+   */
+  observeResponse(
+    heartbeat: Heartbeat,
+    countersBefore: MessageCounters,
+    now: MonotonicTime,
+  ): ReadonlyArray<Outcome> | null {
+    const outcomes = this.observe(heartbeat, "direct", now)
+    if (outcomes !== null) return outcomes
+    return this.acceptRestart(heartbeat, countersBefore, now) ? [] : null
+  }
+  /**
+   * Accepts lower counters than `countersBefore`. The worker has to show a raised token before its former
+   * tasks count as gone: commands sent before may still be in transit. Returns false, and changes nothing, if
+   * the counters aren't lower.
    */
-  acceptRestart(heartbeat: Heartbeat, countersBefore: MessageCounters, now: MonotonicTime): boolean {
+  private acceptRestart(heartbeat: Heartbeat, countersBefore: MessageCounters, now: MonotonicTime): boolean {
     const isLower =
       heartbeat.agentEpoch < countersBefore.agentEpoch ||
       (heartbeat.agentEpoch === countersBefore.agentEpoch && heartbeat.sequence < countersBefore.sequence)
     if (!isLower) return false
     this.latestMessage.acceptRestart(heartbeat)
-    this.lease.renew(now)
-    this.reachability.recordRestart(now)
     this.address = heartbeat.address
     this.reported.replaceWith(heartbeat)
-    this.imageCache.clear()
-    this.starts.resetForRestart()
+    this.beginAfterRestart("lower counters", now)
     return true
   }
 
@@ -290,6 +338,7 @@
     for (const placement of this.placements.values()) lastEpoch = Math.max(lastEpoch, placement.agentEpoch)
     this.latestMessage.endSessionsUpTo(lastEpoch)
     this.reported.clear()
+    this.restarts.resetForNewSession()
     this.imageCache.clear()
     return [...this.placements.values()]
       .filter(({ task, attempt }) => !this.starts.isUnanswered(task, attempt))
--- a/scenarios/late-reports.sexp
+++ b/scenarios/late-reports.sexp
@@ -4,4 +4,4 @@
   (at 32 (machines-receive-nothing 8 24)) (at 33 (cancel 2)) (at 33 (submit tasks 8 cores 8 run 20 deadline 60))
   (at 90 (machines-send-nothing 3 30)) (at 94 (hang-machines 3 25)) (at 100 (crash host-0 4)) (at 102 (reboot-machines 3 0.3)) (at 105 (submit tasks 12 cores 4 run 30 deadline 200)) (at 120 (crash host-1 3))
   (expect (all-jobs-final) (half-done-per-group) (counted-at-least "late heartbeats of an earlier session" 5))
-  (guard "packages/workers/src/latest-message.ts" "if (heartbeat.agentEpoch === this.agentEpoch && heartbeat.sequence <= this.sequence) return true" ""))
+  (guard "packages/workers/src/worker-session.ts" "if (this.latestMessage.isOutdated(heartbeat, source)) return null" "if (this.latestMessage.isOutdated(heartbeat, source)) { this.reported.replaceWith(heartbeat); return this.collectOutcomes(heartbeat, source, true, now) }"))
