--- a/packages/testkit/src/faults/fault-kinds.ts
+++ b/packages/testkit/src/faults/fault-kinds.ts
@@ -4,7 +4,7 @@
  */
 import { controllerFaults, freezeFault } from "./controller-fault-kinds.ts"
 import type { FaultKind } from "./fault-draws.ts"
-import { machineFaults } from "./machine-fault-kinds.ts"
+import { machineFaults, restartFault } from "./machine-fault-kinds.ts"
 import { cutFaults, messageFaults } from "./network-fault-kinds.ts"
 import { lowerStateLimitsFault, serviceFaults } from "./service-fault-kinds.ts"
 import { userFaults } from "./user-fault-kinds.ts"
@@ -19,4 +19,5 @@
   ...userFaults,
   ...messageFaults,
   lowerStateLimitsFault,
+  restartFault,
 ]
--- a/packages/testkit/src/faults/machine-fault-kinds.ts
+++ b/packages/testkit/src/faults/machine-fault-kinds.ts
@@ -90,3 +90,13 @@
     }
   }),
 ]
+
+/** Machines that restart soon after commands, copies of which arrive later: added after the other kinds. */
+export const restartFault: FaultKind = faultKind("restart-and-repeat-commands", (random) => {
+  const durationS = random.integerBetween(5, 40)
+  return {
+    form: `(restart-and-repeat-commands ${random.pick([0.1, 0.5])} ${durationS} after-contact)`,
+    durationS,
+    windows: effectWindow("messages-unreliable", 0, durationS),
+  }
+})
--- a/packages/testkit/src/faults/restart-faults.ts
+++ b/packages/testkit/src/faults/restart-faults.ts
@@ -5,17 +5,28 @@
 import type { Deployment } from "../simulation/deployment.ts"
 import type { OutgoingRequest } from "../simulation/network.ts"
 
-/** When the copies arrive: just after the machine is back, or up to a minute later. */
-export type CopyTime = "at-boot" | "later"
+/**
+ * `after-contact`: the machine restarts soon after the commands, and the copy arrives up to a minute later.
+ * `before-contact`: the machine restarts up to a minute after the commands, and the copy arrives before its
+ * first heartbeat is answered.
+ */
+export type CopyTime = "after-contact" | "before-contact"
 
-/** The commands have been carried out by then, and the worker has sent one heartbeat or none since. */
-const MAX_UP_MS = 1_500
-const DOWN_MS = { min: 50, max: 400 }
-/** A restarted worker's first heartbeat has been sent, but not answered. */
-const MAX_AT_BOOT_MS = 4
-const LATER_MS = { min: 2_000, max: 60_000 }
+/** Bounds of random times in milliseconds. */
+type Range = readonly [minMs: number, maxMs: number]
+/** The commands have been carried out by then, and the worker has sent two heartbeats at most since. */
+const SOON: Range = [20, 1_500]
+const LATE: Range = [2_000, 60_000]
+/** The worker's first heartbeat has been sent by then, but not answered. */
+const BEFORE_FIRST_ANSWER: Range = [0, 0.5]
+const DOWNTIME: Range = [50, 400]
+
+const DELAYS: Record<CopyTime, { readonly restart: Range; readonly copy: Range }> = {
+  "after-contact": { restart: SOON, copy: LATE },
+  "before-contact": { restart: LATE, copy: BEFORE_FIRST_ANSWER },
+}
 
-/** Restarts of machines, one a machine, each followed by a copy of commands from before it. */
+/** Restarts of machines, each machine once, followed by a copy of commands from before the restart. */
 export class RestartFaults {
   private readonly restarted = new Set<string>()
 
@@ -24,7 +35,7 @@
   /** That share of the direct requests sent within `durationMs` is repeated after a restart. */
   repeatCommandsAfterRestart(share: number, durationMs: number, time: CopyTime): void {
     const { simulation, network, invariants } = this.deployment
-    invariants.recordFault(durationMs + LATER_MS.max)
+    invariants.recordFault(durationMs + LATE[1])
     const stopIntercepting = network.intercept((outgoing) => {
       if (outgoing.request.path === "/orders" && simulation.random.chance(share))
         this.restartAndRepeat(outgoing, time)
@@ -36,15 +47,15 @@
   private restartAndRepeat(outgoing: OutgoingRequest, time: CopyTime): void {
     const { simulation, cloud } = this.deployment
     const { random, occurrences } = simulation
-    const downMs = random.between(DOWN_MS.min, DOWN_MS.max)
-    const afterReturnMs =
-      time === "at-boot" ? random.between(0, MAX_AT_BOOT_MS) : random.between(LATER_MS.min, LATER_MS.max)
-    simulation.after(random.between(20, MAX_UP_MS), () => {
+    const { restart, copy } = DELAYS[time]
+    const downtimeMs = random.between(...DOWNTIME)
+    const copyAfterMs = downtimeMs + random.between(...copy)
+    simulation.after(random.between(...restart), () => {
       const machine = cloud.machines.get(outgoing.to)
       if (machine === undefined || machine.status !== "running" || this.restarted.has(machine.id)) return
       this.restarted.add(machine.id)
-      machine.reboot(downMs)
-      outgoing.sendAgain(downMs + afterReturnMs, ({ status }) =>
+      machine.reboot(downtimeMs)
+      outgoing.sendAgain(copyAfterMs, ({ status }) =>
         occurrences.count(
           status === 200
             ? "commands from before a restart carried out again"
--- a/packages/testkit/src/scenarios/fault-actions.ts
+++ b/packages/testkit/src/scenarios/fault-actions.ts
@@ -46,12 +46,12 @@
     deployment.faults.limitBootTime(numberArgument(args, 1, 2) * 1000, numberArgument(args, 0, 60) * 1000),
   "reboot-machines": (deployment, args) =>
     deployment.faults.rebootMachines(numberArgument(args, 0, 1), numberArgument(args, 1, 0.3) * 1000),
-  /** Arguments: share of direct requests, duration in seconds, and when their copies arrive. */
+  /** Arguments: share of direct requests, duration in seconds, and when their copies arrive (`CopyTime`). */
   "restart-and-repeat-commands": (deployment, args) =>
     deployment.restartFaults.repeatCommandsAfterRestart(
       numberArgument(args, 0, 0.2),
       numberArgument(args, 1, 20) * 1000,
-      (args[2] ?? "later") as CopyTime,
+      (args[2] ?? "after-contact") as CopyTime,
     ),
   "hang-machines": (deployment, args) =>
     deployment.faults.hangMachines(numberArgument(args, 0, 1), numberArgument(args, 1, 20) * 1000),
