Attempt numbers stay exact integers at any revision of the store

Cause: an attempt was the shard's epoch times 2^20 plus a count. From epoch 2^33 on that is beyond the exact integers of JavaScript: different attempts become one number, and the decoder of heartbeats rightly refuses a try that isn't exact.

Change: makeAttempt continues at 0 beyond 2^53 (epochs below 2^33 give the numbers of before, so that stored attempts and controllers of both versions agree); which of two placements is newer is decided by serial number arithmetic, in the one place that compares them. Two attempts are alike only if 2^33 revisions lie between them. An owner that makes more than 2^20 placements under one epoch goes on into the next revision's numbers as before; each of its writes takes a revision.

--- a/packages/jobs/src/job-state.ts
+++ b/packages/jobs/src/job-state.ts
@@ -3,16 +3,17 @@
  * never concludes on its own that a task is off its machine: a placement counts
  * until the code that has proof of that clears it.
  */
-import type {
-  AgentEpoch,
-  Attempt,
-  JobId,
-  JobSpec,
-  MachineId,
-  ModRevision,
-  MonotonicTime,
-  TaskId,
-  WallTime,
+import {
+  type AgentEpoch,
+  type Attempt,
+  isNewerAttempt,
+  type JobId,
+  type JobSpec,
+  type MachineId,
+  type ModRevision,
+  type MonotonicTime,
+  type TaskId,
+  type WallTime,
 } from "@sorreltally/protocol"
 import type { JobPage, JobRecord, StoreKey } from "@sorreltally/store"
 
@@ -198,7 +199,6 @@
   restorePlacement(placement: Placement): void {
     if (this.isFinished(placement.index)) return
     const current = this.placements.get(placement.index)
-    // Attempt numbers only increase: the highest is the newest.
-    if (current === undefined || current.attempt < placement.attempt) this.place(placement)
+    if (current === undefined || isNewerAttempt(placement.attempt, current.attempt)) this.place(placement)
   }
 }
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,3 +1,4 @@
+export * from "./attempts.ts"
 export * from "./clocks.ts"
 export * from "./cloud.ts"
 export * from "./hash.ts"
--- a/packages/shard/src/plan-execution.ts
+++ b/packages/shard/src/plan-execution.ts
@@ -6,10 +6,10 @@
 import type { JobState, Placement } from "@sorreltally/jobs"
 import type { Plan } from "@sorreltally/planner"
 import {
-  type Attempt,
   type MachineId,
   type ModRevision,
   type MonotonicTime,
+  makeAttempt,
   makeTaskId,
 } from "@sorreltally/protocol"
 import type { QuotaAllocation } from "@sorreltally/quota"
@@ -17,9 +17,6 @@
 import type { Rentals } from "./rentals.ts"
 import type { ShardView } from "./shard-context.ts"
 
-/** Attempt numbers per shard epoch: beyond these, an owner's numbers would reach those of the next epoch. */
-const ATTEMPTS_PER_EPOCH = 2 ** 20
-
 /** Options of plan execution. */
 export interface PlanExecutionOptions {
   readonly shard: ShardView
@@ -59,8 +56,7 @@
     if (session === undefined || session.agentEpoch === null) return
     const index = job.nextQueued()
     if (index === null) return
-    // The epoch makes attempt numbers unique across owners, the counter within one owner.
-    const attempt = (epoch * ATTEMPTS_PER_EPOCH + ++this.attemptCount) as Attempt
+    const attempt = makeAttempt(epoch, ++this.attemptCount)
     const placement: Placement = {
       job,
       index,
--- a/packages/testkit/src/random-days/random-day.ts
+++ b/packages/testkit/src/random-days/random-day.ts
@@ -92,6 +92,11 @@
 /** Limits that the settings announce; the limits that are in force later may be others. */
 const ANNOUNCED_LIMITS = [null, null, "2 4 60", "1 3 30"]
 
+/** Revisions of the store at the start of a day, below and beyond the ends of number formats. */
+const FIRST_REVISIONS = [0, 0, 0, 2 ** 32 - 300, 2 ** 33 - 300, 10_000_000_000]
+/** Chosen by the seed alone, without a draw. */
+const firstRevisionOf = (seed: number): number => FIRST_REVISIONS[seed % FIRST_REVISIONS.length]!
+
 const faultKindNamed = (name: string): FaultKind => faultKinds.find((kind) => kind.name === name)!
 const cancellationsAsFault = (): DrawnFault => ({
   form: "",
@@ -174,7 +179,7 @@
   const startLimitS = LARGEST_JOB_START_LIMIT_S + Math.ceil(busiestTeamWorkS(users, settings))
   const processorShareForm = processorShare === null ? "" : ` (processor-share ${processorShare})`
   const stateNextForm = stateNext === null ? "" : ` (state-limits-announced ${stateNext})`
-  return `(scenario "random day ${seed}" (seed ${seed}) (until ${DAY_LENGTH_S})
+  return `(scenario "random day ${seed}" (seed ${seed}) (until ${DAY_LENGTH_S}) (first-revision ${firstRevisionOf(seed)})
   (nodes ${nodes}) (controller-cores ${cores})${processorShareForm} (zones ${zones.join(" ")})
   (workers 3 ${leaseS} ${cancelS}) (state-limits ${stateRps} ${stateWrites})${stateNextForm} (team-limit ${teamLimit})
   (capacity ${capacity}) (never-boots 0.05)
--- a/packages/testkit/src/scenarios/scenario.ts
+++ b/packages/testkit/src/scenarios/scenario.ts
@@ -78,6 +78,7 @@
   "processor-share": ([share]) => ({ processorShare: Number(share) }),
   "team-limit": ([limit]) => ({ teamMax: Number(limit) }),
   "never-boots": ([share]) => ({ neverBoots: Number(share) }),
+  "first-revision": ([revision]) => ({ firstRevision: Number(revision) }),
   "state-limits": ([rps, writes]) => ({ stateRps: Number(rps), stateWrites: Number(writes) }),
   /** Arguments: KiB per value, changes per transaction, changes and requests per second. */
   "state-limits-announced": ([valueKb, operations, writes, requests]) => ({
@@ -103,6 +104,7 @@
   "processor-share",
   "team-limit",
   "never-boots",
+  "first-revision",
 ])
 /** Actions that aren't faults: their arguments contain no duration of a fault. */
 const NON_FAULT_ACTIONS: ReadonlySet<string> = new Set([
--- a/packages/testkit/src/services/state-service.ts
+++ b/packages/testkit/src/services/state-service.ts
@@ -51,9 +51,11 @@
     private readonly simulation: Simulation,
     network: Network,
     private readonly initialLimits: StateLimits,
+    firstRevision = 0,
   ) {
     this.limits = initialLimits
     this.store = new KeyValueStore((key, before, after) => this.recordChange(key, before, after))
+    this.store.revision = firstRevision
     this.faults = new StateFaults(simulation)
     this.requestTokens = new TokenBucket(initialLimits.rps)
     this.changeTokens = new TokenBucket(initialLimits.write_rps)
--- a/packages/testkit/src/simulation/deployment.ts
+++ b/packages/testkit/src/simulation/deployment.ts
@@ -18,6 +18,8 @@
   /** Requests and changes per second that the state service accepts. */
   readonly stateRps: number
   readonly stateWrites: number
+  /** Revision of the state service at the start. */
+  readonly firstRevision?: number
   /** Limits that the settings announce for later; no limit on requests is announced if that is null. */
   readonly stateNext?:
     | readonly [valueKb: number, operations: number, writes: number, requests: number | null]
--- a/packages/testkit/src/simulation/simulated-deployment.ts
+++ b/packages/testkit/src/simulation/simulated-deployment.ts
@@ -74,7 +74,8 @@
     const types = machineTypesIn(setup.zones)
     const { teams } = platformOf(this.platformFile(0)).deployment
     this.invariants = new Invariants(this.simulation, teams, types, setup.workers.cancel_s)
-    this.state = new StateService(this.simulation, this.network, this.platformFile(0).facts.state)
+    const { state } = this.platformFile(0).facts
+    this.state = new StateService(this.simulation, this.network, state, setup.firstRevision)
     this.cloud = new Cloud(this.simulation, this.network, this.invariants, {
       types,
       capacity: setup.capacity,
