Job pages: a job is accepted only if its cancellation can be stored, and cancelled jobs shrink

Cause: a record was admitted by its size at the submission. A cancellation adds 17 bytes to it and was held to the same limit. A cancelled job could leave out its list of machine types, but no other field whose length no page limits.

Change: a job is admitted if its page fits with all of its jobs cancelled and the archive at its largest count. Related: a page within the limit on values but above that on transactions (64 KiB in all) was accepted with two conditions and could not be cancelled with five; pages leave 2 KiB for them.

--- a/packages/jobs/src/job-pages.ts
+++ b/packages/jobs/src/job-pages.ts
@@ -6,13 +6,14 @@
  * a job requires a separate write.
  */
 
-import { hashText, type JobId } from "@sorreltally/protocol"
+import { hashText, type JobId, type JobSpec } from "@sorreltally/protocol"
 import {
   encodeRecord,
   type FinalStates,
   type FinalStatus,
   type JobPage,
   type JobRecord,
+  MAX_TRANSACTION_BYTES,
   type StoreKey,
 } from "@sorreltally/store"
 
@@ -33,6 +34,10 @@
 const ID_JSON_OVERHEAD_BYTES = 3
 /** Bytes of a value that are reserved for the overhead of its encoding. */
 const ENCODING_RESERVE_BYTES = 64
+/** Bytes of a transaction that are reserved for its conditions, and for what else a cancellation writes. */
+const CONDITIONS_RESERVE_BYTES = 2_048
+/** Longer names of a cancelled job are cut to this many characters if its page is too large. */
+const MAX_CANCELLED_NAME_LENGTH = 16
 const ID_PREFIX = "run-"
 
 /** Content of a job page before its first write. */
@@ -114,6 +119,30 @@
   return records
 }
 
-/** Whether the encoded page fits in a value of at most `valueKb` KiB. */
+/**
+ * The largest form that the page's jobs can take later: all of them cancelled, after the archive has grown. A
+ * job is accepted only if this fits, or its cancellation could not be stored.
+ */
+export const largestLaterForm = (page: JobPage): JobPage => ({
+  ...page,
+  jobs: page.jobs.map((job) => ({ ...job, cancelled: true })),
+  archivePageCount: Number.MAX_SAFE_INTEGER,
+})
+
+/** The page with each cancelled job in the shortest form that can store it. */
+export const shortenCancelledJobs = (page: JobPage): JobPage => ({
+  ...page,
+  jobs: page.jobs.map((job) => (job.cancelled ? { ...job, spec: shortenSpec(job.spec) } : job)),
+})
+/** A cancelled job starts no more tasks: nothing needs its machine types, nor its names of any length. */
+const shortenSpec = (spec: JobSpec): JobSpec => ({
+  ...spec,
+  machineTypes: null,
+  jobClass: spec.jobClass.slice(0, MAX_CANCELLED_NAME_LENGTH) as JobSpec["jobClass"],
+  image: spec.image.slice(0, MAX_CANCELLED_NAME_LENGTH) as JobSpec["image"],
+})
+
+/** Whether the encoded page fits in a value of at most `valueKb` KiB, and in a transaction. */
 export const fitsValue = (key: StoreKey<JobPage>, page: JobPage, valueKb: number): boolean =>
-  Buffer.byteLength(JSON.stringify(encodeRecord(key, page))) <= valueKb * 1024 - ENCODING_RESERVE_BYTES
+  Buffer.byteLength(JSON.stringify(encodeRecord(key, page))) <=
+  Math.min(valueKb * 1024 - ENCODING_RESERVE_BYTES, MAX_TRANSACTION_BYTES - CONDITIONS_RESERVE_BYTES)
--- a/packages/jobs/src/job-store.ts
+++ b/packages/jobs/src/job-store.ts
@@ -44,6 +44,7 @@
   EMPTY_PAGE,
   finalStatusIn,
   fitsValue,
+  largestLaterForm,
 } from "./job-pages.ts"
 import { bucketOfPage, layOutPage, type PageContent, type PageLayout } from "./page-layout.ts"
 
@@ -270,8 +271,9 @@
 
   /**
    * First page of the bucket with room for the job, and its content with the job;
-   * null if the record doesn't even fit into an empty page. Announced limits are
-   * kept from the start, so that no accepted job is too large for them later.
+   * null if the record doesn't even fit into an empty page. There has to be room for what
+   * the page's jobs may become later. Announced limits are kept from the start, so that no
+   * accepted job is too large for them later.
    */
   private pageFor(record: JobRecord, pages: ReadonlyArray<Entry<JobPage>>): PageContent | null {
     const { limits, lowestStatedLimits } = this.store
@@ -279,11 +281,11 @@
     for (const entry of pages) {
       const page = addJob(this.compactedPage(entry), record)
       const { key } = entry
-      if (fitsValue(key, page, valueKb)) return { key, page }
+      if (fitsValue(key, largestLaterForm(page), valueKb)) return { key, page }
     }
     const key = keys.jobPage(bucketOf(record.spec.id), pages.length)
     const page = addJob(EMPTY_PAGE, record)
-    return fitsValue(key, page, valueKb) ? { key, page } : null
+    return fitsValue(key, largestLaterForm(page), valueKb) ? { key, page } : null
   }
 
   private endsConditions(shard: ShardName): ReadonlyArray<Condition> {
--- a/packages/jobs/src/page-layout.ts
+++ b/packages/jobs/src/page-layout.ts
@@ -15,7 +15,14 @@
   type StoreKey,
   type StoreLimits,
 } from "@sorreltally/store"
-import { addJob, archiveFinalStates, divideFinalStates, EMPTY_PAGE, fitsValue } from "./job-pages.ts"
+import {
+  addJob,
+  archiveFinalStates,
+  divideFinalStates,
+  EMPTY_PAGE,
+  fitsValue,
+  shortenCancelledJobs,
+} from "./job-pages.ts"
 
 /** Number of operations of a write that moves final states to the archive. */
 const ARCHIVING_OPERATIONS = 2
@@ -75,17 +82,22 @@
   return put(keys.archivePage(bucket, number, n), states)
 }
 
-/** Divides the jobs of a page among the page itself and as few new pages as possible. */
+/**
+ * Divides the jobs of a page among the page itself and as few new pages as possible. Cancelled jobs are
+ * shortened if that is necessary, so that a cancellation can be stored on a page that was full before.
+ */
 const dividePage = (
   { key, page }: PageContent,
   pageCount: number,
   valueKb: number,
 ): ReadonlyArray<PageContent> | null => {
   if (fitsValue(key, page, valueKb)) return [{ key, page }]
+  const shortened = shortenCancelledJobs(page)
+  if (fitsValue(key, shortened, valueKb)) return [{ key, page: shortened }]
   const { bucket } = parsePageKey(key)
   const pages: Array<PageContent> = []
   let current: PageContent = { key, page: { ...page, jobs: [] } }
-  for (const job of page.jobs) {
+  for (const job of shortened.jobs) {
     const added = withJob(current, job, valueKb)
     if (added !== null) {
       current = added
@@ -102,13 +114,6 @@
 
 /** The page with the job added; null if it is too large then. */
 const withJob = ({ key, page }: PageContent, job: JobRecord, valueKb: number): PageContent | null => {
-  for (const record of [job, withoutMachineTypes(job)]) {
-    const next = addJob(page, record)
-    if (fitsValue(key, next, valueKb)) return { key, page: next }
-  }
-  return null
+  const next = addJob(page, job)
+  return fitsValue(key, next, valueKb) ? { key, page: next } : null
 }
-
-/** A cancelled job starts no more tasks, so the machine types that it allows, a list of any length, can go. */
-const withoutMachineTypes = (job: JobRecord): JobRecord =>
-  job.cancelled ? { ...job, spec: { ...job.spec, machineTypes: null } } : job
--- a/packages/jobs/test/builders.ts
+++ b/packages/jobs/test/builders.ts
@@ -45,6 +45,7 @@
     team: "o",
     taskCount: 1,
     cores: 1,
+    image: "img",
     deadlineS: null,
     ...spec,
   } as JobRecord["spec"],
--- a/packages/store/src/limits.ts
+++ b/packages/store/src/limits.ts
@@ -4,7 +4,7 @@
 /** Number of conditions that a transaction may have per operation of its limit. */
 const CONDITIONS_PER_OPERATION = 4
 /** Largest size of a whole transaction; not configurable. */
-const MAX_TRANSACTION_BYTES = 65_536
+export const MAX_TRANSACTION_BYTES = 65_536
 const BYTES_PER_KIB = 1_024
 
 /** Limits as the platform states them; they hold for all controllers together. */
--- a/packages/testkit/src/random-days/random-day.ts
+++ b/packages/testkit/src/random-days/random-day.ts
@@ -97,6 +97,28 @@
 /** Chosen by the seed alone, without a draw. */
 const firstRevisionOf = (seed: number): number => FIRST_REVISIONS[seed % FIRST_REVISIONS.length]!
 
+/** On every so many days, the first job's record almost fills a value of the store, and is cancelled. */
+const LONG_NAME_DAYS = 3
+const LONG_IMAGE_NAME_BYTES = 3_500
+const LONG_NAME_CANCELLED_S = 60
+/**
+ * Chosen by the seed, without a draw. The job is accepted before any fault lowers the store's limits, unless
+ * lower limits are announced, which already hold for new jobs.
+ */
+const withLongName = (
+  users: ReadonlyArray<UserEvent>,
+  seed: number,
+  { stateNext }: DaySettings,
+): ReadonlyArray<UserEvent> => {
+  if (seed % LONG_NAME_DAYS !== 0 || stateNext !== null) return users
+  const renamed = users.map((event): UserEvent => {
+    if (event.action !== "submit" || event.job !== 0) return event
+    const otherOptions = `${event.options.otherOptions} image-name-bytes ${LONG_IMAGE_NAME_BYTES}`.trimStart()
+    return { ...event, options: { ...event.options, otherOptions } }
+  })
+  return [...renamed, { atS: LONG_NAME_CANCELLED_S, job: 0, action: "cancel" }]
+}
+
 const faultKindNamed = (name: string): FaultKind => faultKinds.find((kind) => kind.name === name)!
 const cancellationsAsFault = (): DrawnFault => ({
   form: "",
@@ -144,7 +166,7 @@
     if (random.chance(0.3)) addFault(random.pick(faultNames), secondS + random.between(0, 10), null)
     atS = secondS + random.between(5, 25)
   }
-  return { seed, settings, users, faults }
+  return { seed, settings, users: withLongName(users, seed, settings), faults }
 }
 
 interface ScenarioLine {
--- a/packages/testkit/src/scenarios/all-actions.ts
+++ b/packages/testkit/src/scenarios/all-actions.ts
@@ -25,7 +25,7 @@
     pieces: numberOption("tasks", 4),
     cores: numberOption("cores", 4),
     mem_gb: numberOption("mem-gb", 4),
-    bundle: options.get("image") ?? "img-1",
+    bundle: (options.get("image") ?? "img-1").padEnd(numberOption("image-name-bytes", 0), "x"),
     image_gb: numberOption("image-gb", 1),
     builds: options.get("machine-type") === undefined ? null : [options.get("machine-type")],
     site: options.get("zone") ?? null,
