Starts are sent in replies to heartbeats only; a direct command asks for the heartbeat

What callers would see: a task runs on two machines at once, or a cancelled task runs again, when a machine is back within a second and a copy of a start command that was carried out and answered reaches it once more.

Until its first contact it accepts the copy whatever token the owner has raised; detection and fencing come too late by definition. A reply to a heartbeat is dropped when late, and by a restarted worker.

Change: no start of a job's task goes to a worker's own address. In its place goes a start of a task that no job can have: the worker refuses it (unknown) and reports the change at once, and the reply carries the starts. A copy of the request does no harm. With direct starts goes what they needed: tracking of unanswered and copied starts, the assumption that copies come within three minutes, purges that waited for a higher token, leases that were left to run out, the release of machines with a start in flight.

--- a/packages/protocol/src/workers.ts
+++ b/packages/protocol/src/workers.ts
@@ -86,6 +86,19 @@
   /** Removes an exited task from the worker's heartbeats. */
   | { readonly kind: "purge"; readonly taskId: TaskId; readonly attempt: Attempt }
 
+/** No job has this task: its index is beyond the largest number of tasks, and its job isn't submitted. */
+const NONEXISTENT_TASK = "run-00000000000000000000/100000" as TaskId
+/**
+ * Returns a command that makes the worker send a heartbeat soon: the worker refuses the start, and reports the
+ * change of its tasks at once (protocol, "Workers -> controller nodes"). Executed late or again, the command
+ * does no harm. The refused attempt is reported until it is purged; until then, the same one changes nothing.
+ */
+export const makeHeartbeatRequest = (attempt: Attempt): Command => ({
+  kind: "start",
+  taskId: NONEXISTENT_TASK,
+  attempt,
+})
+
 /** Reply of the shard's owner to a heartbeat. */
 export interface HeartbeatReply {
   /** A worker that has seen a higher token discards the reply and doesn't renew its agent lease. */
--- a/packages/protocol/test/workers.test.ts
+++ b/packages/protocol/test/workers.test.ts
@@ -8,7 +8,10 @@
   encodeHeartbeatReply,
   exitReasonToWire,
   type FencingToken,
+  makeHeartbeatRequest,
   phaseToWire,
+  splitTaskId,
+  TASK_ID_PATTERN,
   type TaskId,
 } from "../src/index.ts"
 
@@ -85,3 +88,11 @@
     const reply = encodeHeartbeatReply({ fencingToken: 7 as FencingToken, commands: [command] })
     assert.deepEqual(reply, { baton: 7, orders: [wire] })
   })
+
+// Guards against a request for a heartbeat that starts a task: no job may have the task that it names.
+test("a heartbeat request names a task that no job can have, and that a heartbeat may list", () => {
+  const { taskId: requested } = makeHeartbeatRequest(attempt)
+  assert.match(requested, TASK_ID_PATTERN)
+  assert.ok(splitTaskId(requested).index >= 100_000)
+  assert.equal(decodeTask({ piece: requested, status: "exited", cause: "unknown" }).exitReason, "unknown")
+})
--- a/packages/shard/src/command-delivery.ts
+++ b/packages/shard/src/command-delivery.ts
@@ -1,9 +1,8 @@
 /**
  * Sends commands that can't wait for the reply to the next heartbeat directly to the workers. A command may
- * be late, lost or repeated. It carries the fencing token and agent epoch it was made for, and a worker
- * refuses lower ones; the session treats a start without a response as one that may still take effect.
+ * be late, lost or repeated, also after its worker restarted. So starts are never sent this way: the worker is
+ * made to send a heartbeat, and the reply carries them.
  */
-import { NOT_SENT } from "@sorreltally/peers"
 import { addMs, type Heartbeat, type MachineId } from "@sorreltally/protocol"
 import type { MessageCounters, WorkerSession } from "@sorreltally/workers"
 import { Effect } from "effect"
@@ -13,9 +12,6 @@
 
 /** After a request without a response, the worker gets commands only in heartbeat replies for this long. */
 const DIRECT_COMMANDS_BACKOFF_MS = 4_000
-const HTTP_OK = 200
-/** The worker refused the commands, because its agent epoch or fencing token is higher. */
-const HTTP_CONFLICT = 409
 
 /** Sends commands of one shard to the addresses of its workers. */
 export class CommandDelivery {
@@ -65,20 +61,16 @@
       // Checked again, since the fiber may start some time after the fork.
       if (session.commandsInFlight || address === null || agentEpoch === null || !this.context.holdsLease())
         return Effect.void
-      const commands = session.selectCommands(now, (task) => registry.finishIsDurable(task))
+      const commands = session.selectDirectCommands(now, (task) => registry.finishIsDurable(task))
       if (!commands.some(({ kind }) => kind !== "purge")) return Effect.void
-      session.recordDirectCommands(commands, now)
+      session.recordDirectCommands(commands)
       const countersBefore = session.counters()
       const batch = { fencingToken: token, agentEpoch, commands }
-      return Effect.map(
-        node.commandForwarder.send(address, batch, session.forwardedBy),
-        ({ status, heartbeat }) => {
-          const isOutcomeKnown = status === HTTP_OK || status === HTTP_CONFLICT || status === NOT_SENT
-          session.recordDirectResult(commands, token, isOutcomeKnown)
-          if (this.context.isStopped() || this.context.machines.get(session.id) !== session) return
-          this.applyResponse(session, heartbeat, countersBefore)
-        },
-      )
+      return Effect.map(node.commandForwarder.send(address, batch, session.forwardedBy), ({ heartbeat }) => {
+        session.recordDirectResult()
+        if (this.context.isStopped() || this.context.machines.get(session.id) !== session) return
+        this.applyResponse(session, heartbeat, countersBefore)
+      })
     })
   }
 
--- a/packages/shard/src/machine-checks.ts
+++ b/packages/shard/src/machine-checks.ts
@@ -1,7 +1,6 @@
 /** Periodic checks of a shard's machines that depend on time only: agent leases and preemption notices. */
 import type { MachineId } from "@sorreltally/protocol"
 import type { Outcome, WorkerSession } from "@sorreltally/workers"
-import type { ReleaseReason } from "./machine-release.ts"
 import type { ShardView } from "./shard-context.ts"
 
 /** Time in s for a stop to reach its worker (a heartbeat and the command), in addition to the checkpoint. */
@@ -12,8 +11,6 @@
   readonly shard: ShardView
   /** Applies the outcomes that the expiry of an agent lease proves. */
   readonly applyOutcomes: (session: WorkerSession, outcomes: ReadonlyArray<Outcome>) => void
-  /** Releases a machine, even if tasks run on it. */
-  readonly releaseMachine: (session: WorkerSession, reason: ReleaseReason) => void
   /** Marks a machine that needs commands before its next heartbeat. */
   readonly markCommandsDue: (machine: MachineId) => void
 }
@@ -30,17 +27,12 @@
 
   /** Requeues the tasks of workers whose agent lease has certainly expired, since they killed their tasks. */
   private expireLeases(): void {
-    const { shard, applyOutcomes, releaseMachine } = this.options
+    const { shard, applyOutcomes } = this.options
     const now = shard.node.clocks.monotonicNow()
     for (const session of shard.machines.values()) {
       if ((!session.isUp && session.placements.size === 0) || !session.isLeaseExpired(now)) continue
-      const placedTaskCount = session.placements.size
-      const outcomes = session.expireLease()
-      if (outcomes.length > 0 || placedTaskCount === 0)
-        shard.node.log.info("agent lease expired", { machine: session.id, tasks: placedTaskCount })
-      applyOutcomes(session, outcomes)
-      // The remaining tasks may still start there: only the machine's deletion rules this out immediately.
-      if (session.placements.size > 0) releaseMachine(session, "lease expired with a start in flight")
+      shard.node.log.info("agent lease expired", { machine: session.id, tasks: session.placements.size })
+      applyOutcomes(session, session.expireLease())
     }
   }
 
--- a/packages/shard/src/machine-release.ts
+++ b/packages/shard/src/machine-release.ts
@@ -27,11 +27,6 @@
   | "never booted"
   /** Its worker doesn't receive the messages sent to it. */
   | "unreachable"
-  /**
-   * A start sent directly got no response before the agent lease expired: only the machine's deletion proves
-   * that it can't take effect any more.
-   */
-  | "lease expired with a start in flight"
 
 /** Why a machine is released: a fault, or one of two reasons for healthy machines. */
 export type ReleaseReason =
--- a/packages/shard/src/shard-controller.ts
+++ b/packages/shard/src/shard-controller.ts
@@ -77,7 +77,6 @@
     this.checks = new MachineChecks({
       shard: this,
       applyOutcomes: (session, outcomes) => this.workers.applyOutcomes(session, outcomes),
-      releaseMachine: (session, reason) => this.rentals.release(session, reason),
       markCommandsDue: (machine) => this.workers.markCommandsDue(machine),
     })
   }
--- a/packages/shard/src/worker-communication.ts
+++ b/packages/shard/src/worker-communication.ts
@@ -4,17 +4,14 @@
  * would renew the agent lease. The node lease is checked immediately before each reply.
  */
 import {
-  addMs,
   encodeHeartbeatReply,
   HEARTBEAT_UNAVAILABLE,
   type Heartbeat,
   type MachineId,
-  type MonotonicTime,
   type NodeName,
   type OutgoingResponse,
   type Respond,
 } from "@sorreltally/protocol"
-import { cancellationBudget } from "@sorreltally/settings"
 import type { Outcome, WorkerSession } from "@sorreltally/workers"
 import { CommandDelivery } from "./command-delivery.ts"
 import { DeferredReplies } from "./deferred-replies.ts"
@@ -32,15 +29,11 @@
   private readonly commandDelivery: CommandDelivery
   private readonly inspection: WorkerInspection
   private readonly deferredReplies: DeferredReplies
-  /** An agent lease renewed later than this after a cancellation could outlast the cancellation limit. */
-  private readonly maxRenewalDelayMs: number
   private readonly inspectAfterMs: number
 
   constructor(private readonly context: WorkerCommunicationContext) {
-    const { clocks, platform, operators } = context.node
+    const { clocks, platform } = context.node
     const { workers } = platform.deployment
-    const budget = cancellationBudget(workers, operators.membership)
-    this.maxRenewalDelayMs = Math.max(0, budget.cancelMs - budget.worstCaseMs)
     this.inspectAfterMs = INSPECT_AFTER_INTERVALS * 1000 * workers.heartbeatIntervalS
     this.taskOutcomes = new TaskOutcomes(context)
     this.inspection = new WorkerInspection(context, this.taskOutcomes)
@@ -117,10 +110,6 @@
     if (!this.context.mayAct() || this.context.machines.get(session.id) !== session)
       return HEARTBEAT_UNAVAILABLE
     const now = this.context.node.clocks.monotonicNow()
-    if (this.mustLetLeaseExpire(session, now)) {
-      fenceIfNeeded(this.context, session)
-      return HEARTBEAT_UNAVAILABLE
-    }
     const commands = session.selectCommands(now, (task) => this.context.registry.finishIsDurable(task))
     session.recordReply(commands, now)
     this.commandDelivery.clearCommandsDue(session)
@@ -128,14 +117,4 @@
     const reply = encodeHeartbeatReply({ fencingToken: session.token, commands })
     return { status: 200, body: reply }
   }
-
-  /**
-   * Whether the agent lease must not be renewed. A delayed start of a cancelled task can take effect as long
-   * as its agent epoch and fencing token are current at the worker. If the token can't be raised, renewals
-   * have to end early enough for the lease to expire within the cancellation limit.
-   */
-  private mustLetLeaseExpire(session: WorkerSession, now: MonotonicTime): boolean {
-    const since = session.pendingCancelledStartSince()
-    return since !== null && now > addMs(since, this.maxRenewalDelayMs)
-  }
 }
--- a/packages/testkit/src/faults/machine-fault-kinds.ts
+++ b/packages/testkit/src/faults/machine-fault-kinds.ts
@@ -8,6 +8,7 @@
   machineSilenceWindows,
   workLostWindow,
 } from "./fault-draws.ts"
+import { copyTimes } from "./restart-faults.ts"
 
 /** Machines that hang, restart or are lost, and late messages from and to their agents. */
 export const machineFaults: ReadonlyArray<FaultKind> = [
@@ -91,11 +92,11 @@
   }),
 ]
 
-/** Machines that restart soon after commands, copies of which arrive later: added after the other kinds. */
+/** Machines that restart after commands, copies of which arrive then: added after the other kinds. */
 export const restartFault: FaultKind = faultKind("restart-and-repeat-commands", (random) => {
   const durationS = random.integerBetween(5, 40)
   return {
-    form: `(restart-and-repeat-commands ${random.pick([0.1, 0.5])} ${durationS} after-contact)`,
+    form: `(restart-and-repeat-commands ${random.pick([0.1, 0.5])} ${durationS} ${random.pick(copyTimes)})`,
     durationS,
     windows: effectWindow("messages-unreliable", 0, durationS),
   }
--- a/packages/testkit/src/faults/restart-faults.ts
+++ b/packages/testkit/src/faults/restart-faults.ts
@@ -6,11 +6,13 @@
 import type { OutgoingRequest } from "../simulation/network.ts"
 
 /**
- * `after-contact`: the machine restarts soon after the commands, and the copy arrives up to a minute later.
- * `before-contact`: the machine restarts up to a minute after the commands, and the copy arrives before its
- * first heartbeat is answered.
+ * When a machine restarts and the copy arrives. `after-contact`: the machine restarts soon after the commands,
+ * and the copy arrives up to a minute later. `before-contact`: the machine restarts up to a minute after the
+ * commands, and the copy arrives before its first heartbeat is answered.
  */
-export type CopyTime = "after-contact" | "before-contact"
+export const copyTimes = ["after-contact", "before-contact"] as const
+/** One of `copyTimes`. */
+export type CopyTime = (typeof copyTimes)[number]
 
 /** Bounds of random times in milliseconds. */
 type Range = readonly [minMs: number, maxMs: number]
--- a/packages/testkit/src/scenarios/expectations.ts
+++ b/packages/testkit/src/scenarios/expectations.ts
@@ -69,6 +69,8 @@
       : `${deployment.count.maxWorkersAtNode} workers at one node, expected at least ${args[0] ?? 0}`,
   "workers-at-one-node-at-most": (deployment, args) =>
     atMost("workers at one node", deployment.count.maxWorkersAtNode, args),
+  "workers-at-one-node-at-end-at-most": (deployment, args) =>
+    atMost("workers at one node at the end", deployment.workersAtBusiestNode(), args),
   "machines-rented-at-most": (deployment, args) => atMost("machines rented", deployment.cloud.rented, args),
   /** At least this many machines were returned as faulty, and every one of them is. */
   "faulty-machines-returned": (deployment, args) => {
--- a/packages/testkit/src/simulation/simulated-deployment.ts
+++ b/packages/testkit/src/simulation/simulated-deployment.ts
@@ -160,6 +160,16 @@
     this.count.maxWorkersAtNode = Math.max(this.count.maxWorkersAtNode, workerCount)
   }
 
+  /** Maximum number of running machines whose last heartbeat reached the same controller. */
+  workersAtBusiestNode(): number {
+    const counts = new Map<NodeName, number>()
+    for (const { id } of this.faults.runningMachines()) {
+      const node = this.nodeByWorker.get(id)
+      if (node !== undefined) counts.set(node, (counts.get(node) ?? 0) + 1)
+    }
+    return Math.max(0, ...counts.values())
+  }
+
   /** Ends a controller's process, and starts a new one after the given time. */
   crash(name: NodeName, restartAfterMs: number): void {
     this.invariants.recordFault(restartAfterMs)
--- a/packages/workers/src/worker-session.ts
+++ b/packages/workers/src/worker-session.ts
@@ -39,7 +39,7 @@
 import { ReportedTasks } from "./reported-tasks.ts"
 import { RestartDetector, type RestartSign } from "./restart-detection.ts"
 import { type StartEvidence, StartTracker } from "./start-tracker.ts"
-import { WorkerCommands } from "./worker-commands.ts"
+import { WorkerCommands, withoutStarts } from "./worker-commands.ts"
 import { WorkerLease } from "./worker-lease.ts"
 
 /** Options of a worker session. */
@@ -178,7 +178,6 @@
     this.preemptionAt =
       typeof heartbeat.preemptionNoticeS === "number" ? addMs(now, heartbeat.preemptionNoticeS * 1000) : null
     this.address = heartbeat.address
-    this.trackStarts(heartbeat)
     return this.collectOutcomes(heartbeat, source, isProvenFresh, now)
   }
   /** Whether no message of the worker can be from before this owner, or from before a restart. */
@@ -206,7 +205,7 @@
     this.lease.renew(now)
     this.reachability.recordRestart(now)
     this.imageCache.clear()
-    this.starts.resetForRestart()
+    this.starts.reset()
   }
   /** Handles the first message of a session; the worker has lost the lease of the former one, if any. */
   private beginSession(source: MessageSource, now: MonotonicTime): void {
@@ -217,14 +216,9 @@
     // first message of it may be the response to a direct request.
     this.lease.renew(now)
     this.imageCache.clear()
-    this.starts.resetForNewSession()
+    this.starts.reset()
     this.restarts.resetForNewSession()
   }
-  private trackStarts({ fencingToken, tasks }: Heartbeat): void {
-    this.starts.recordTokenSeen(fencingToken)
-    for (const { taskId, attempt } of tasks) this.starts.recordReported(taskId, attempt)
-    this.starts.pruneDirectStarts((task) => this.reported.byId.has(task) || this.placements.has(task))
-  }
   private collectOutcomes(
     heartbeat: Heartbeat,
     source: MessageSource,
@@ -259,9 +253,9 @@
   }
   /** Returns what the latest message proves about the starts that were sent before it. */
   private startEvidence(source: MessageSource, now: MonotonicTime): StartEvidence {
-    const { token, isTokenConfirmed } = this
+    const { isTokenConfirmed } = this
     const { sequence } = this.latestMessage
-    return { token, isTokenConfirmed, sequence, isHeartbeat: source === "heartbeat", now }
+    return { isTokenConfirmed, sequence, isHeartbeat: source === "heartbeat", now }
   }
 
   /** Returns the whole heartbeat if the latest message was the one that it repeats, otherwise null. */
@@ -305,22 +299,16 @@
   recordTokenRaised(): void {
     this.reachability.recordTokenRaised()
   }
-  /**
-   * Whether the token has to be raised: the worker has to prove that it receives commands, or only a higher
-   * token settles what may still be started or purged (see `WorkerCommands.needsHigherToken`).
-   */
+  /** Whether the token has to be raised, for the worker to prove that it receives commands. */
   needsHigherToken(): boolean {
-    return (
-      this.reachability.needsHigherToken() ||
-      this.workerCommands.needsHigherToken(this.token, this.reported.byId)
-    )
+    return this.reachability.needsHigherToken()
   }
 
   private clear(placement: Placement, cause: ClearedCause): Outcome {
     this.removePlacement(placement)
     return { kind: "cleared", placement, cause }
   }
-  /** Clears all placements: the machine's deletion was confirmed, or it moved to another shard. */
+  /** Clears all placements: none of the tasks is on the machine, or can still be started there. */
   clearAll(cause: ClearedCause): ReadonlyArray<Outcome> {
     return [...this.placements.values()].map((placement) => this.clear(placement, cause))
   }
@@ -328,11 +316,7 @@
   isLeaseExpired(now: MonotonicTime): boolean {
     return this.lease.isExpired(now)
   }
-  /**
-   * Ends the session once `isLeaseExpired`: later messages of its agent epoch are outdated. A restarted
-   * worker counts its agent epochs from the beginning, and may execute a command that was sent before: a task
-   * whose direct start got no response stays placed until the machine sends messages again or is deleted.
-   */
+  /** Ends the session once `isLeaseExpired`: later messages of its agent epoch are outdated. */
   expireLease(): ReadonlyArray<Outcome> {
     let lastEpoch: number = this.agentEpoch ?? 0
     for (const placement of this.placements.values()) lastEpoch = Math.max(lastEpoch, placement.agentEpoch)
@@ -340,9 +324,7 @@
     this.reported.clear()
     this.restarts.resetForNewSession()
     this.imageCache.clear()
-    return [...this.placements.values()]
-      .filter(({ task, attempt }) => !this.starts.isUnanswered(task, attempt))
-      .map((placement) => this.clear(placement, "lease expired"))
+    return this.clearAll("lease expired")
   }
 
   /** Whether no task that needs the current owner is, or may still be started, on the machine. */
@@ -369,31 +351,30 @@
   get commandsInFlight(): boolean {
     return this.workerCommands.inFlight
   }
-  /** Returns the commands to send now, given the worker's latest message. */
+  /** Returns the commands to send to the worker's own address: never a start of a job's task. */
+  selectDirectCommands(
+    now: MonotonicTime,
+    finishIsDurable: (task: TaskId) => boolean,
+  ): ReadonlyArray<Command> {
+    return withoutStarts(this.selectCommands(now, finishIsDurable))
+  }
+  /** Returns the commands to send in a reply, given the worker's latest message. */
   selectCommands(now: MonotonicTime, finishIsDurable: (task: TaskId) => boolean): ReadonlyArray<Command> {
     if (this.agentEpoch === null) return []
     const evidence = this.startEvidence("direct", now)
     return this.workerCommands.select(this.agentEpoch, this.reported.byId, evidence, finishIsDurable)
   }
-  /**
-   * Since when a start of a cancelled task may still reach the worker: a direct start without a response,
-   * under a token that the worker still accepts; null: no such start is in transit.
-   */
-  pendingCancelledStartSince(): MonotonicTime | null {
-    return this.workerCommands.pendingCancelledStartSince(this.agentEpoch, this.token, this.reported.byId)
-  }
-
   /** Called before the reply to a heartbeat is sent. */
   recordReply(commands: ReadonlyArray<Command>, now: MonotonicTime): void {
     this.lease.renew(now)
     this.workerCommands.recordReply(commands, this.latestMessage.sequence, now)
   }
   /** Called before commands are sent to the worker's own address. */
-  recordDirectCommands(commands: ReadonlyArray<Command>, now: MonotonicTime): void {
-    this.workerCommands.recordDirect(commands, this.token, now)
+  recordDirectCommands(commands: ReadonlyArray<Command>): void {
+    this.workerCommands.recordDirect(commands)
   }
-  /** Records the end of such a request; `isOutcomeKnown`: answered, or certainly not sent; else unknown. */
-  recordDirectResult(commands: ReadonlyArray<Command>, token: FencingToken, isOutcomeKnown: boolean): void {
-    this.workerCommands.recordDirectResult(commands, token, isOutcomeKnown)
+  /** Called at the end of such a request, whether it was answered or not. */
+  recordDirectResult(): void {
+    this.workerCommands.inFlight = false
   }
 }
--- /dev/null
+++ b/scenarios/copies-before-contact.sexp
@@ -0,0 +1,10 @@
+(scenario "a copy of commands from before a machine's restart starts nothing, even if it arrives before the machine's first heartbeat is answered: tasks placed, moved and cancelled, controllers back within a second"
+  (seeds 1 2 3 4 5 6 7 8) (until 260) (workers 3 10 13) (capacity 2)
+  (at 1 (restart-and-repeat-commands 1 80 before-contact))
+  (at 2 (stream 4 1 tasks 4 cores 2 run 100)) (at 20 (cancel-range 0 4 30))
+  (at 24 (submit tasks 4 cores 1 run 60) (submit tasks 8 cores 2 run 20 priority high))
+  (at 28 (crash host-0 0.3)) (at 45 (submit tasks 16 cores 4 run 20 priority high)) (at 52 (crash-all 0.3))
+  (at 60 (submit tasks 4 cores 1 run 60) (submit tasks 8 cores 2 run 20 priority high)) (at 66 (crash-leader 0.3))
+  (expect (all-jobs-final) (cancelled 4) (counted-at-least "commands from before a restart carried out again" 20)
+    (counted-at-most "starts after a cancellation" 0))
+  (guard "packages/workers/src/worker-commands.ts" "const start = commands.find(({ kind }) => kind === \"start\")" "const start = commands.find(({ kind }) => kind === \"start\" && commands.length === 0)"))
