Workers: the tokens of a machine in a module of their own; the lower counters of a restart too

Guards that named text that moved name it at its new place, and were seen to fail. Two tests of the protocol share a builder.

--- a/packages/protocol/test/attempts.test.ts
+++ b/packages/protocol/test/attempts.test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict"
 import { describe, it } from "node:test"
 import { type Attempt, decodeHeartbeat, isNewerAttempt, type ModRevision, makeAttempt } from "../src/index.ts"
+import { wireHeartbeatWith } from "./builders.ts"
 
 /** Shard epochs around the powers of two at which number formats end, each older than the next one. */
 const EPOCHS = [1, 31, 32, 33, 34, 52].flatMap((exponent) =>
@@ -10,17 +11,8 @@
 /** Revisions that an owner's placements take at least, as each write takes one. */
 const revisionsFor = (count: number) => Math.floor(count / 2 ** 20) + 1
 
-const heartbeatWith = (attempt: number) => ({
-  host: "i-1",
-  address: "10.1.0.1:9000",
-  build: "g8",
-  site: "a",
-  loaners: true,
-  tenure: 1,
-  tick: 1,
-  baton: 1,
-  pieces: [{ piece: "run-000001/0", try: attempt, status: "running" }],
-})
+const heartbeatWith = (attempt: number) =>
+  wireHeartbeatWith({ piece: "run-000001/0", try: attempt, status: "running" })
 
 // Guards against jobs that never end (review/7): from revision 2^33 on, attempts were no exact integers, and
 // all heartbeats that listed one were answered with 400.
--- a/packages/protocol/test/workers.test.ts
+++ b/packages/protocol/test/workers.test.ts
@@ -14,21 +14,12 @@
   TASK_ID_PATTERN,
   type TaskId,
 } from "../src/index.ts"
+import { wireHeartbeatWith } from "./builders.ts"
 
 const taskId = "run-000001/0" as TaskId
 const attempt = 2 as Attempt
 const decodeTask = (fields: object) => {
-  const heartbeat = decodeHeartbeat({
-    host: "i-1",
-    address: "10.1.0.1:9000",
-    build: "g8",
-    site: "a",
-    loaners: true,
-    tenure: 1,
-    tick: 5,
-    baton: 7,
-    pieces: [{ piece: taskId, try: attempt, ...fields }],
-  })
+  const heartbeat = decodeHeartbeat(wireHeartbeatWith({ piece: taskId, try: attempt, ...fields }))
   return Result.getOrThrow(heartbeat).tasks[0]!
 }
 
--- a/packages/workers/src/latest-message.ts
+++ b/packages/workers/src/latest-message.ts
@@ -37,10 +37,19 @@
     this.sequence = sequence
     this.seenToken = fencingToken
   }
-  /** Accepts the lower counters of a worker that restarted. */
-  acceptRestart(heartbeat: Heartbeat): void {
+  /**
+   * Accepts the message if its counters are lower than `countersBefore`, those of a message that was sent
+   * before it: its worker restarted. Returns false, and changes nothing, if they aren't lower.
+   */
+  acceptRestart(heartbeat: Heartbeat, countersBefore: MessageCounters): boolean {
+    const { agentEpoch, sequence } = heartbeat
+    const isLower =
+      agentEpoch < countersBefore.agentEpoch ||
+      (agentEpoch === countersBefore.agentEpoch && sequence < countersBefore.sequence)
+    if (!isLower) return false
     this.accept(heartbeat)
-    this.minAgentEpoch = heartbeat.agentEpoch
+    this.minAgentEpoch = agentEpoch
+    return true
   }
   acceptHandoff({ agentEpoch, sequence }: MachineHandoff): void {
     this.agentEpoch = agentEpoch
--- a/packages/workers/src/worker-session.ts
+++ b/packages/workers/src/worker-session.ts
@@ -15,7 +15,6 @@
   type ImageName,
   type MachineId,
   type MachineType,
-  type ModRevision,
   type MonotonicTime,
   type NodeName,
   type TaskId,
@@ -39,18 +38,14 @@
 import { ReportedTasks } from "./reported-tasks.ts"
 import { RestartDetector, type RestartSign } from "./restart-detection.ts"
 import { type StartEvidence, StartTracker } from "./start-tracker.ts"
+import { TokenState, type TokenStateOptions } from "./token-state.ts"
 import { WorkerCommands, withoutStarts } from "./worker-commands.ts"
 import { WorkerLease } from "./worker-lease.ts"
 
 /** Options of a worker session. */
-export interface WorkerSessionOptions {
-  readonly entry: MachineEntry
+export interface WorkerSessionOptions extends TokenStateOptions {
   readonly type: MachineType
-  /** Shard epoch under which this node owns the machine; it is the lowest token of commands to the worker. */
-  readonly shardEpoch: ModRevision
   readonly times: LeaseTimes
-  /** Whether the machine was rented under this shard epoch: none of its messages can be from before it. */
-  readonly rentedInEpoch: boolean
   readonly now: MonotonicTime
 }
 
@@ -65,7 +60,6 @@
   /** No direct commands are sent before this time: the last ones got no response. */
   commandsPausedUntil: MonotonicTime = EARLIEST_TIME
 
-  private currentEntry: MachineEntry
   private readonly latestMessage = new LatestMessage()
   private readonly lease: WorkerLease
   private readonly reachability: Reachability
@@ -74,14 +68,12 @@
   private readonly reported = new ReportedTasks()
   private readonly starts = new StartTracker()
   private readonly restarts = new RestartDetector()
-  /** The lowest token of this owner: a worker that has shown it refuses the commands of former owners. */
-  private readonly firstToken: FencingToken
+  private readonly tokens: TokenState
   private readonly workerCommands: WorkerCommands
 
   constructor(private readonly options: WorkerSessionOptions) {
-    const { entry, type, times, now } = options
-    this.currentEntry = entry
-    this.firstToken = this.token
+    const { type, times, now } = options
+    this.tokens = new TokenState(options, this.restarts)
     this.lease = new WorkerLease(times, now)
     this.reachability = new Reachability(times)
     this.placedTasks = new PlacedTasks(type)
@@ -90,28 +82,25 @@
   }
 
   get id(): MachineId {
-    return this.currentEntry.id
+    return this.entry.id
   }
   get type(): MachineType {
     return this.options.type
   }
   /** The machine's record in the store. */
   get entry(): MachineEntry {
-    return this.currentEntry
+    return this.tokens.entry
   }
   updateEntry(entry: MachineEntry): void {
-    this.currentEntry = entry
+    this.tokens.entry = entry
   }
   /** The fencing token of commands to the worker. */
   get token(): FencingToken {
-    return Math.max(this.options.shardEpoch, this.currentEntry.token) as FencingToken
+    return this.tokens.current
   }
-  /**
-   * Whether the worker has shown the current token: it then refuses commands with a lower one. After a restart
-   * it is one that was raised since, as commands from before the restart may arrive again.
-   */
+  /** Whether the worker has shown the current token, and refuses all commands under former ones. */
   private get isTokenConfirmed(): boolean {
-    return this.latestMessage.seenToken === this.token && this.restarts.isSettledBy(this.token)
+    return this.tokens.isConfirmedBy(this.latestMessage.seenToken)
   }
   /** How the worker's restart was recognized; null: it didn't restart, or has shown a raised token since. */
   get restartSign(): RestartSign | null {
@@ -172,7 +161,7 @@
   observe(heartbeat: Heartbeat, source: MessageSource, now: MonotonicTime): ReadonlyArray<Outcome> | null {
     if (this.latestMessage.isOutdated(heartbeat, source)) return null
     this.trackSession(heartbeat, source, now)
-    const isProvenFresh = source === "direct" || this.isTokenConfirmed || this.isNeverOwnedBefore
+    const isProvenFresh = source === "direct" || this.isTokenConfirmed || this.tokens.hasNoFormerMessages
     this.reachability.recordMessage(source, isProvenFresh, now)
     if (this.isTokenConfirmed) this.recordTokenConfirmed()
     this.preemptionAt =
@@ -180,10 +169,6 @@
     this.address = heartbeat.address
     return this.collectOutcomes(heartbeat, source, isProvenFresh, now)
   }
-  /** Whether no message of the worker can be from before this owner, or from before a restart. */
-  private get isNeverOwnedBefore(): boolean {
-    return this.options.rentedInEpoch && this.restarts.isSettledBy(this.token)
-  }
   private recordTokenConfirmed(): void {
     this.reachability.recordTokenConfirmed()
     this.restarts.recordSettled()
@@ -196,8 +181,7 @@
     this.reported.replaceWith(heartbeat)
     const sign = this.restarts.signIn(heartbeat, seenToken, this.reported.byId)
     if (sign !== null) this.beginAfterRestart(sign, now)
-    const isExclusive = heartbeat.fencingToken >= this.firstToken || this.isNeverOwnedBefore
-    this.restarts.recordTasks(this.reported.byId, isExclusive)
+    this.restarts.recordTasks(this.reported.byId, this.tokens.isExclusiveAt(heartbeat.fencingToken))
   }
   /** Handles the first message after a restart: until a raised token is shown, absence proves nothing. */
   private beginAfterRestart(sign: RestartSign, now: MonotonicTime): void {
@@ -261,7 +245,7 @@
   /** Returns the whole heartbeat if the latest message was the one that it repeats, otherwise null. */
   expandRepeat(repeat: RepeatedHeartbeat): Heartbeat | null {
     if (this.address === null || this.agentEpoch !== repeat.agentEpoch) return null
-    return this.reported.expandRepeat(repeat, this.currentEntry, this.address)
+    return this.reported.expandRepeat(repeat, this.entry, this.address)
   }
 
   /**
@@ -276,23 +260,11 @@
   ): ReadonlyArray<Outcome> | null {
     const outcomes = this.observe(heartbeat, "direct", now)
     if (outcomes !== null) return outcomes
-    return this.acceptRestart(heartbeat, countersBefore, now) ? [] : null
-  }
-  /**
-   * Accepts lower counters than `countersBefore`. The worker has to show a raised token before its former
-   * tasks count as gone: commands sent before may still be in transit. Returns false, and changes nothing, if
-   * the counters aren't lower.
-   */
-  private acceptRestart(heartbeat: Heartbeat, countersBefore: MessageCounters, now: MonotonicTime): boolean {
-    const isLower =
-      heartbeat.agentEpoch < countersBefore.agentEpoch ||
-      (heartbeat.agentEpoch === countersBefore.agentEpoch && heartbeat.sequence < countersBefore.sequence)
-    if (!isLower) return false
-    this.latestMessage.acceptRestart(heartbeat)
+    if (!this.latestMessage.acceptRestart(heartbeat, countersBefore)) return null
     this.address = heartbeat.address
     this.reported.replaceWith(heartbeat)
     this.beginAfterRestart("lower counters", now)
-    return true
+    return []
   }
 
   /** Records that the store now has a higher token for the machine. */
--- a/scenarios/began-anew.sexp
+++ b/scenarios/began-anew.sexp
@@ -4,4 +4,4 @@
   (at 66 (submit tasks 4 cores 4 run 10 deadline 300))
   (at 74 (reboot-machines 9 0.3))
   (expect (all-jobs-final))
-  (guard "packages/workers/src/worker-session.ts" "return this.acceptRestart(heartbeat, countersBefore, now) ? [] : null" "return countersBefore.sequence < -1 ? [] : null"))
+  (guard "packages/workers/src/worker-session.ts" "if (!this.latestMessage.acceptRestart(heartbeat, countersBefore)) return null" "if (countersBefore.sequence >= -1) return null"))
--- a/scenarios/deposed-commands.sexp
+++ b/scenarios/deposed-commands.sexp
@@ -5,4 +5,4 @@
   (at 20.5 (crash host-0 0.2)) (at 20.6 (cancel 2)) (at 20.7 (submit tasks 4 cores 8 run 20 deadline 60 zone b machine-type large))
   (expect (all-jobs-final) (started-within 60) (counted-at-least "late commands of a former leader" 2))
   (guard "packages/workers/src/worker-session.ts" "return withoutStarts(this.selectCommands(now, finishIsDurable))" "return this.selectCommands(now, finishIsDurable)"
-    "return this.latestMessage.seenToken === this.token" "return this.latestMessage.seenToken > -1"))
+    "return this.tokens.isConfirmedBy(this.latestMessage.seenToken)" "return this.latestMessage.seenToken > -1"))
--- a/scenarios/late-reports-next-leader.sexp
+++ b/scenarios/late-reports-next-leader.sexp
@@ -8,4 +8,4 @@
   (expect (all-jobs-final) (half-done-per-group) (counted-at-least "old heartbeats sent to all controllers at a failover" 20)
     (counted-at-least "late heartbeats of a worker from before its reboot" 5))
   (guard "packages/workers/src/placement-verdict.ts" "if (placement.agentEpoch < heartbeat.agentEpoch && evidence.isProvenFresh)" "if (placement.agentEpoch < heartbeat.agentEpoch)")
-  (guard "packages/workers/src/worker-session.ts" "return this.latestMessage.seenToken === this.token" "return this.latestMessage.seenToken > -1"))
+  (guard "packages/workers/src/worker-session.ts" "return this.tokens.isConfirmedBy(this.latestMessage.seenToken)" "return this.latestMessage.seenToken > -1"))
