Workers: answers of other machines show no restart, nor does a newer attempt of a task

Found by reading the change again. An address may belong to another machine by now: its answer to a command has lower counters and would have been taken for a restart of the machine that was meant, whose lease then looked renewed; only the inspection compared the machine. A worker that keeps one attempt a task lists the newer one in place of an exited one, which isn't a missing task. Unit tests for both; they fail without the change (the first with outcomes, the second with a sign).

--- a/packages/shard/src/worker-inspection.ts
+++ b/packages/shard/src/worker-inspection.ts
@@ -40,7 +40,6 @@
         const decoded = Result.isSuccess(response) ? decodeHeartbeat(response.success.body) : null
         if (decoded === null || Result.isFailure(decoded)) return
         if (this.context.machines.get(session.id) !== session) return
-        if (decoded.success.machineId !== session.id) return
         const outcomes = session.observeResponse(decoded.success, countersBefore, clocks.monotonicNow())
         if (outcomes !== null) this.taskOutcomes.apply(session, outcomes)
         fenceIfNeeded(this.context, session)
--- a/packages/workers/src/restart-detection.ts
+++ b/packages/workers/src/restart-detection.ts
@@ -49,21 +49,27 @@
    * token that the worker had shown before, `reported` are the tasks of the message by id.
    */
   signIn(
-    { fencingToken, tasks }: Heartbeat,
+    { fencingToken }: Heartbeat,
     seenToken: FencingToken,
     reported: ReadonlyMap<TaskId, ReportedTask>,
   ): RestartSign | null {
     if (fencingToken < seenToken) return "lower token"
     if (this.listed === null) return null
     for (const former of this.listed.values()) {
-      const task = findAttempt(reported, tasks, former)
-      if (task === undefined) {
-        if (this.purged.get(former.taskId) !== former.attempt) return "task missing"
-        this.purged.delete(former.taskId)
-      } else if (isEarlier(task.phase, former.phase)) return "earlier phase"
+      const sign = this.signOf(former, reported.get(former.taskId))
+      if (sign !== null) return sign
     }
     return null
   }
+  /** A newer attempt of the same task may take the place of an exited one, and proves nothing. */
+  private signOf(former: ReportedTask, task: ReportedTask | undefined): RestartSign | null {
+    if (task === undefined) {
+      if (this.purged.get(former.taskId) !== former.attempt) return "task missing"
+      this.purged.delete(former.taskId)
+      return null
+    }
+    return task.attempt === former.attempt && isEarlier(task.phase, former.phase) ? "earlier phase" : null
+  }
   /**
    * Records the tasks in the latest message. `isExclusive`: no other owner can still purge any of them, since
    * the worker refuses the tokens of former owners.
@@ -96,14 +102,3 @@
     this.latestSign = null
   }
 }
-
-/** Finds the attempt among all reported tasks; a worker may report several attempts of one task. */
-const findAttempt = (
-  byId: ReadonlyMap<TaskId, ReportedTask>,
-  tasks: ReadonlyArray<ReportedTask>,
-  { taskId, attempt }: ReportedTask,
-): ReportedTask | undefined => {
-  const task = byId.get(taskId)
-  if (task === undefined || task.attempt === attempt) return task
-  return tasks.find((other) => other.taskId === taskId && other.attempt === attempt)
-}
--- a/packages/workers/src/worker-session.ts
+++ b/packages/workers/src/worker-session.ts
@@ -250,14 +250,16 @@
 
   /**
    * Processes the response to a direct request. Returns null if messages that were sent after it have arrived
-   * before. `countersBefore` are those at the time of the request: as only heartbeats can be delayed
-   * duplicates, lower ones show that the worker restarted.
+   * before, or if it is from another machine, which has this one's former address. `countersBefore` are those
+   * at the time of the request: as only heartbeats can be delayed duplicates, lower ones show that the worker
+   * restarted.
    */
   observeResponse(
     heartbeat: Heartbeat,
     countersBefore: MessageCounters,
     now: MonotonicTime,
   ): ReadonlyArray<Outcome> | null {
+    if (heartbeat.machineId !== this.id) return null
     const outcomes = this.observe(heartbeat, "direct", now)
     if (outcomes !== null) return outcomes
     if (!this.latestMessage.acceptRestart(heartbeat, countersBefore)) return null
--- a/packages/workers/test/restart-detection.test.ts
+++ b/packages/workers/test/restart-detection.test.ts
@@ -91,6 +91,22 @@
     assert.equal(session.restartSign, null)
   })
 
+  it("is not taken for restarted when a newer attempt takes the place of an exited one", () => {
+    const session = newUpSession()
+    session.observe(heartbeat(2, { tasks: [exited("stopped")] }), "heartbeat", at(2))
+    const newer = reported({ attempt: 10 as never, phase: "fetching" })
+    session.observe(heartbeat(3, { tasks: [newer] }), "heartbeat", at(3))
+    assert.equal(session.restartSign, null)
+  })
+
+  it("is not taken for restarted when another machine answers at its former address", () => {
+    const session = newCancelledSession()
+    const response = heartbeat(1, { machineId: "i-2", fencingToken: 0 })
+    assert.equal(session.observeResponse(response, session.counters(), at(3)), null)
+    assert.equal(session.restartSign, null)
+    assert.equal(session.lastMessageAt, at(2))
+  })
+
   it("is not taken for restarted when it loses its tasks with its lease", () => {
     const session = newCancelledSession()
     session.observe(heartbeat(6, { agentEpoch: 2 }), "heartbeat", at(40))
